--- /dev/null
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -0,0 +1,219 @@
+package burlridge.app
+
+import burlridge.fleet.Fleet
+import burlridge.intake.Intake
+import burlridge.intent.Ledger
+import burlridge.leadership.Leadership
+import burlridge.peer.PeerMessage
+import burlridge.peer.Peers
+import burlridge.placement.Placement
+import burlridge.store.Read
+import burlridge.store.Store
+import burlridge.store.Urgency
+import burlridge.worker.Workers
+
+/** The state machine of one controller: an input and the time go in, what to send, write and answer comes out. */
+internal class Controller(private val settings: Settings, seed: Long) : Leadership.Events {
+    private val ctx = Context(settings, seed)
+    private val store = Store(ctx)
+    private val leadership = Leadership(ctx, store, this)
+    private val ledger = Ledger(ctx, store, leadership)
+    private val workers = Workers(ctx, leadership, ledger) { placeSoon() }
+    private val fleet = Fleet(ctx, store, leadership, ledger, workers)
+    private val placement = Placement(ctx, ledger, workers, fleet)
+    private val peers = Peers(ctx)
+    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
+    private var announceAt = 0.0
+    private var followAt = 0L
+    private var placing = false
+    private var placedAt = 0.0
+
+    fun step(input: Input, now: Double, wallMs: Long): List<Effect> {
+        ctx.begin(now, wallMs)
+        when (input) {
+            Input.Tick -> tick()
+            is Input.Request -> request(input.method, input.path, input.body) { ctx.answer(input.id, it) }
+            is Input.CallDone -> ctx.called(input)
+            is Input.FromPeer -> fromPeer(input.message)
+        }
+        ctx.runDue()
+        if (placing) place()
+        store.pump()
+        return ctx.finish()
+    }
+
+    private fun tick() {
+        leadership.tick()
+        fleet.tickCatalog()
+        if (ctx.now >= announceAt) {
+            announceAt = ctx.now + ANNOUNCE_S
+            leadership.announce()
+        }
+        if (leadership.leading && intake.loaded) {
+            workers.tick()
+            ledger.tick()
+            if (leadership.standing) fleet.tick()
+            if (ctx.now > placedAt + PLACE_S) placeSoon()
+        }
+    }
+
+    private fun placeSoon() {
+        placing = true
+    }
+
+    private fun place() {
+        placing = false
+        if (!leadership.standing || !intake.loaded) return
+        placedAt = ctx.now
+        placement.round()
+    }
+
+    // --- requests
+
+    private fun request(method: String, path: String, body: String, then: (Answer) -> Unit) {
+        val parts = path.trim('/').split('/')
+        when {
+            path == "/ready" -> only(method, "GET", then) { then(if (ready) Answer(200, "{}") else Answer.unavailable("starting")) }
+            path == "/agent/beat" -> only(method, "POST", then) { then(beat(body)) }
+            path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, then) }
+            parts.size == 3 && path.startsWith("/api/jobs/") -> only(method, "GET", then) { intake.query(parts[2], then) }
+            parts.size == 4 && path.startsWith("/api/jobs/") && parts[3] == "abort" -> only(method, "POST", then) { intake.abort(parts[2], then) }
+            else -> then(Answer.error(404, "no such path"))
+        }
+    }
+
+    private fun only(method: String, allowed: String, then: (Answer) -> Unit, work: () -> Unit) {
+        if (method == allowed) work() else then(Answer.error(405, "use $allowed"))
+    }
+
+    private val ready: Boolean get() = fleet.catalog != null
+
+    private fun beat(body: String): Answer {
+        if (!leadership.leading) {
+            val leader = leadership.knownLeader?.takeIf { it != settings.member }
+            return Answer(421, Json.write(Json.obj { leader?.let { put("herder", it) } }))
+        }
+        return if (leadership.answering) workers.beat(body) else Answer.unavailable("leadership in doubt")
+    }
+
+    // --- peers
+
+    private fun fromPeer(message: PeerMessage) {
+        peers.heard(message.from)
+        when (message) {
+            is PeerMessage.Status -> leadership.heard(message)
+            is PeerMessage.Reply -> peers.replied(message)
+            is PeerMessage.Accepted ->
+                if (leadership.leading && intake.loaded && !ledger.jobs.containsKey(message.job)) admit(message.job)
+            is PeerMessage.Ask ->
+                // Passed on once only: a member that does not lead says so.
+                if (leadership.leading) {
+                    request(message.method, message.path, message.body) { reply(message, it) }
+                } else {
+                    reply(message, Answer.unavailable("not the leader"))
+                }
+        }
+    }
+
+    /** The news may be old and the job long over, so its row is read before it counts. */
+    private fun admit(job: String) {
+        val term = leadership.term
+        store.get("live/$job", Urgency.USER) { live ->
+            if (leadership.leading && leadership.term == term && intake.loaded && live is Read.Found) {
+                ledger.admit(job, live.value.value, live.value.stamp)
+                placeSoon()
+            }
+        }
+    }
+
+    private fun reply(to: PeerMessage.Ask, answer: Answer) {
+        ctx.send(to.from, PeerMessage.Reply(settings.member, to.ask, answer.status, answer.body, answer.retryAfterS ?: 0))
+    }
+
+    // --- leadership
+
+    override fun onDeposed() {
+        intake.loaded = false
+        ledger.clear()
+        workers.clear()
+        fleet.clear()
+    }
+
+    /** A new leader reads every row before it acts. */
+    override fun onElected() {
+        onDeposed()
+        load(leadership.term)
+    }
+
+    private fun load(term: Long) {
+        store.list("live/", Urgency.LEADERSHIP) { live ->
+            store.list("prog/", Urgency.LEADERSHIP) { progress ->
+                store.list("round/", Urgency.LEADERSHIP) { rounds ->
+                    store.list("rental/", Urgency.LEADERSHIP) { rentals ->
+                        if (leadership.leading && leadership.term == term) {
+                            if (live == null || progress == null || rounds == null || rentals == null) {
+                                ctx.later(RELOAD_S) { if (leadership.leading && leadership.term == term) load(term) }
+                            } else {
+                                live.rows.forEach { ledger.admit(it.key.substringAfter('/'), it.value, it.stamp) }
+                                progress.rows.forEach { ledger.loadProgress(it) }
+                                rounds.rows.forEach { ledger.loadRound(it) }
+                                rentals.rows.forEach { fleet.load(it) }
+                                loadedAll(live.revision, term)
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun loadedAll(revision: Long, term: Long) {
+        ledger.settleLoaded()
+        workers.loaded = true
+        intake.loaded = true
+        // A machine known only from claims must be waited for like any other.
+        ledger.byMachine.keys.toList().forEach { workers.machine(it) }
+        followAt = revision
+        ctx.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.byMachine.size} machines with claims")
+        follow(term)
+        placeSoon()
+    }
+
+    /** Other members' submissions, should their message be lost. */
+    private fun follow(term: Long) {
+        if (!leadership.leading || leadership.term != term) return
+        store.follow("live/", followAt, FOLLOW_S) { status, body ->
+            if (leadership.leading && leadership.term == term) {
+                when {
+                    status == 200 && body != null -> {
+                        body.path("events").forEach { e ->
+                            val key = e.path("set").asText("")
+                            if (key.startsWith("live/")) ledger.admit(key.substringAfter('/'), e.path("value"), e.path("stamp").asLong())
+                        }
+                        followAt = maxOf(followAt, body.path("ledgerRev").asLong())
+                        if (body.path("events").size() > 0) placeSoon()
+                    }
+                    status == 410 -> relist(term)
+                }
+                ctx.later(FOLLOW_PAUSE_S) { follow(term) }
+            }
+        }
+    }
+
+    private fun relist(term: Long) {
+        store.list("live/", Urgency.CLAIM) { live ->
+            if (live != null && leadership.leading && leadership.term == term) {
+                live.rows.forEach { ledger.admit(it.key.substringAfter('/'), it.value, it.stamp) }
+                followAt = maxOf(followAt, live.revision)
+            }
+        }
+    }
+
+    private companion object {
+        const val ANNOUNCE_S = 0.5
+        const val PLACE_S = 1.0
+        const val RELOAD_S = 0.5
+        const val FOLLOW_S = 10.0
+        const val FOLLOW_PAUSE_S = 0.5
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -0,0 +1,65 @@
+package burlridge.app
+
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.versionOption
+import java.io.File
+import java.io.IOException
+import kotlin.system.exitProcess
+
+private class Burlridge : CoreCliktCommand("burlridge") {
+    init {
+        versionOption(Burlridge::class.java.`package`.implementationVersion ?: "development")
+    }
+
+    override fun help(context: Context) = "A cluster scheduler whose task starts and rentals are claimed intents."
+
+    override fun run() = Unit
+}
+
+private class Serve : CoreCliktCommand("serve") {
+    private val config by option("--config", help = "the platform's settings, a JSON file").required()
+
+    override fun help(context: Context) = "Run a controller until it is killed."
+
+    override fun run() {
+        Service(read(config)).run()
+    }
+}
+
+private class Check : CoreCliktCommand("check") {
+    private val config by option("--config", help = "the platform's settings, a JSON file").required()
+
+    override fun help(context: Context) = "Read the settings, say what is wrong with them, and stop."
+
+    override fun run() {
+        val settings = read(config)
+        echo("settings of ${settings.member} are fine")
+    }
+}
+
+private fun read(config: String): Settings =
+    try {
+        Settings.parse(File(config).readText())
+    } catch (e: SettingsError) {
+        fail("$config: ${e.message}")
+    } catch (e: IOException) {
+        fail("$config cannot be read: ${e.message}")
+    }
+
+private fun fail(line: String): Nothing {
+    System.err.println("burlridge: $line")
+    exitProcess(2)
+}
+
+internal fun main(args: Array<String>) {
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug") } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showLogName", "false")
+    Burlridge().subcommands(Serve(), Check()).main(args)
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -0,0 +1,57 @@
+package burlridge.app
+
+import burlridge.peer.PeerLinks
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.slf4j.LoggerFactory
+import java.util.concurrent.Executors
+
+/** The thin shell: one thread steps the core and carries out its effects, another waits for sockets. */
+internal class Service(settings: Settings) {
+    private val log = LoggerFactory.getLogger("burlridge")
+    private val controller = Controller(settings, System.nanoTime())
+    private val selector = SelectorManager(Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher())
+    private val client = HttpClient(selector)
+    private val server = HttpServer(selector) { request, _ -> step(request) }
+    private val peers = PeerLinks(settings, selector) { step(Input.FromPeer(it)) }
+    private val serveOn = settings.serveOn
+    private lateinit var scope: CoroutineScope
+
+    fun run() {
+        runBlocking {
+            scope = this
+            peers.start(this)
+            launch { server.serve(serveOn, scope) }
+            while (true) {
+                step(Input.Tick)
+                delay(TICK_MS)
+            }
+        }
+    }
+
+    private fun step(input: Input) {
+        controller.step(input, System.nanoTime() / 1e9, System.currentTimeMillis()).forEach(::carryOut)
+    }
+
+    private fun carryOut(effect: Effect) {
+        when (effect) {
+            is Effect.Answer -> server.answer(effect)
+            is Effect.Call -> scope.launch { step(Input.CallDone(effect.call, client.call(effect))) }
+            is Effect.Send -> peers.send(effect.member, effect.message)
+            is Effect.Log ->
+                when (effect.level) {
+                    Level.ERROR -> log.error(effect.text)
+                    Level.INFO -> log.info(effect.text)
+                    Level.DEBUG -> log.debug(effect.text)
+                }
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/app/Settings.kt
@@ -0,0 +1,130 @@
+package burlridge.app
+
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+
+/** A settings file that cannot be used; the message is one line meant for the operator. */
+internal class SettingsError(message: String) : Exception(message)
+
+internal data class Endpoint(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+}
+
+internal data class PeerMember(val member: String, val zone: String, val endpoint: Endpoint)
+
+internal data class Team(val name: String, val cpus: Double, val cpusMax: Double, val gpus: Double, val gpusMax: Double)
+
+internal data class Objective(val kind: String, val lane: String?, val withinS: Double?, val share: Double?)
+
+internal data class WorkerTimes(val reportS: Double, val leaseS: Double, val cancelS: Double)
+
+internal data class StoreLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+
+internal data class CloudLimits(val rps: Double, val listLagS: Double)
+
+/** What the platform hands a controller at its start. */
+internal data class Settings(
+    val member: String,
+    val zone: String,
+    val serveOn: Endpoint,
+    val peerBind: Endpoint,
+    val others: List<PeerMember>,
+    val cloud: Endpoint,
+    val state: Endpoint,
+    val teams: Map<String, Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerTimes,
+    val store: StoreLimits,
+    val cloudLimits: CloudLimits,
+    val maxConnections: Int,
+) {
+    val controllers: Int get() = others.size + 1
+
+    internal companion object {
+        fun parse(text: String): Settings =
+            try {
+                read(Json.parse(text))
+            } catch (e: JsonProcessingException) {
+                throw SettingsError("the settings are not JSON: ${e.originalMessage}")
+            }
+
+        private fun read(root: JsonNode): Settings {
+            if (!root.isObject) throw SettingsError("the settings are not a JSON object")
+            val params = root.need("params", "")
+            val workers = params.need("workers", "params.")
+            val state = params.need("state", "params.")
+            val cloud = params.need("cloud", "params.")
+            val services = root.need("services", "")
+            return Settings(
+                member = root.text("member", ""),
+                zone = root.text("zone", ""),
+                serveOn = root.endpoint("serve_on", ""),
+                peerBind = root.endpoint("peer_bind", ""),
+                others =
+                    root.items("others").map {
+                        PeerMember(it.text("member", "others."), it.text("zone", "others."), it.endpoint("endpoint", "others."))
+                    },
+                cloud = services.endpoint("cloud", "services."),
+                state = services.endpoint("state", "services."),
+                teams = params.items("teams").map { team(it) }.associateBy { it.name },
+                objectives = params.items("objectives").map { objective(it) },
+                workers =
+                    WorkerTimes(
+                        workers.positive("report_s", "params.workers."),
+                        workers.positive("lease_s", "params.workers."),
+                        workers.positive("cancel_s", "params.workers."),
+                    ),
+                store =
+                    StoreLimits(
+                        state.positive("rps", "params.state."),
+                        state.positive("write_rps", "params.state."),
+                        (state.positive("value_kb", "params.state.") * 1024).toInt(),
+                        state.positive("txn_ops", "params.state.").toInt(),
+                    ),
+                cloudLimits = CloudLimits(cloud.positive("rps", "params.cloud."), cloud.positive("list_lag_s", "params.cloud.")),
+                maxConnections = params.path("limits").path("max_connections").asInt(1000),
+            )
+        }
+
+        private fun team(node: JsonNode) =
+            Team(
+                node.text("name", "params.teams."),
+                node.path("cpus").asDouble(0.0),
+                node.path("cpus_max").asDouble(0.0),
+                node.path("gpus").asDouble(0.0),
+                node.path("gpus_max").asDouble(0.0),
+            )
+
+        private fun objective(node: JsonNode) =
+            Objective(
+                node.path("kind").asText(""),
+                node.path("class").takeIf { it.isTextual }?.asText(),
+                node.path("within_s").takeIf { it.isNumber }?.asDouble(),
+                node.path("share").takeIf { it.isNumber }?.asDouble(),
+            )
+    }
+}
+
+private fun JsonNode.need(name: String, at: String): JsonNode = get(name)?.takeIf { !it.isNull } ?: throw SettingsError("$at$name is missing")
+
+private fun JsonNode.text(name: String, at: String): String =
+    need(name, at).takeIf { it.isTextual && it.asText().isNotEmpty() }?.asText() ?: throw SettingsError("$at$name must be a non-empty text")
+
+private fun JsonNode.positive(name: String, at: String): Double =
+    need(name, at).takeIf { it.isNumber && it.asDouble().isFinite() && it.asDouble() > 0 }?.asDouble()
+        ?: throw SettingsError("$at$name must be a number above 0")
+
+private fun JsonNode.items(name: String): List<JsonNode> {
+    val node = get(name) ?: return emptyList()
+    if (node.isNull) return emptyList()
+    if (!node.isArray) throw SettingsError("$name must be a list")
+    return node.toList()
+}
+
+private fun JsonNode.endpoint(name: String, at: String): Endpoint {
+    val text = text(name, at)
+    val port = text.substringAfterLast(':', "").toIntOrNull()
+    val host = text.substringBeforeLast(':')
+    if (port == null || port !in 1..65535 || host.isEmpty()) throw SettingsError("$at$name must be an address and a port, not \"$text\"")
+    return Endpoint(host, port)
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -0,0 +1,410 @@
+package burlridge.fleet
+
+import burlridge.app.Context
+import burlridge.app.Endpoint
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.intake.JobSpec
+import burlridge.intake.Size
+import burlridge.intent.Ledger
+import burlridge.leadership.Leadership
+import burlridge.store.Condition
+import burlridge.store.Op
+import burlridge.store.Read
+import burlridge.store.Row
+import burlridge.store.Store
+import burlridge.store.Txn
+import burlridge.store.TxnResult
+import burlridge.store.Urgency
+import burlridge.worker.Machine
+import burlridge.worker.Workers
+import com.fasterxml.jackson.databind.JsonNode
+
+/** One step of the fleet plan: so many machines of a type, zone and kind. */
+internal data class Offer(val type: String, val zone: String, val spot: Boolean)
+
+internal class Rental(val step: String, val offer: Offer, val count: Int) {
+    var stamp: Long = 0
+    var calledAt: Double = 0.0
+
+    /** Set once the cloud's answer is known, or its list has caught up with a call of unknown outcome. */
+    var settledAt: Double? = null
+    var expected: Int = count
+}
+
+/** Machine types, rentals, boots and returns. */
+internal class Fleet(
+    private val ctx: Context,
+    private val store: Store,
+    private val leadership: Leadership,
+    private val ledger: Ledger,
+    private val workers: Workers,
+) {
+    var catalog: Catalog? = null
+        private set
+    private var catalogAt = -1e9
+    private var catalogBusy = false
+    private var catalogKept = false
+    private var listBusy = false
+    private var listAt = -1e9
+    private var everListed = false
+    private var nextStep = 0L
+    private val rentals = LinkedHashMap<String, Rental>()
+    private val refusedUntil = HashMap<Offer, Double>()
+    private val refusals = HashMap<Offer, Int>()
+    private val lag = ctx.settings.cloudLimits.listLagS
+    private var planAt = 0.0
+    private val demand = Demand(ctx, ledger)
+
+    fun clear() {
+        rentals.clear()
+        refusedUntil.clear()
+        refusals.clear()
+        nextStep = 0
+        listAt = -1e9
+        everListed = false
+        catalogKept = false
+    }
+
+    private fun mine(term: Long): Boolean = leadership.leading && leadership.term == term
+
+    // --- catalog
+
+    /** Every member needs the machine types to judge a submission. */
+    fun tickCatalog() {
+        if (catalogBusy || ctx.now < catalogAt + if (catalog == null) 1.0 else CATALOG_S) return
+        catalogBusy = true
+        catalogAt = ctx.now
+        ctx.call(ctx.settings.cloud, "GET", "/catalog", null, CLOUD_TIMEOUT_S) { outcome ->
+            catalogBusy = false
+            val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
+            val parsed = Catalog.parse(body)
+            when {
+                parsed != null && body != null -> {
+                    catalog = parsed
+                    keepCatalog(body)
+                }
+                catalog == null -> store.get("catalog", Urgency.USER) { read -> if (read is Read.Found && catalog == null) catalog = Catalog.parse(read.value.value) }
+            }
+        }
+    }
+
+    /** Kept so that a start during a cloud outage still knows the machine types. */
+    private fun keepCatalog(body: JsonNode) {
+        if (!leadership.leading || catalogKept) return
+        catalogKept = true
+        store.txn(Txn(listOf(ledger.fence()), listOf(Op.Put("catalog", body))), Urgency.CLEANUP) { if (it !is TxnResult.Done) catalogKept = false }
+    }
+
+    // --- the cloud's list
+
+    fun tick() {
+        if (!listBusy && ctx.now >= listAt + lag) {
+            listBusy = true
+            listAt = ctx.now
+            list("", ArrayList(), leadership.term)
+        }
+        settleRentals()
+        if (everListed && ctx.now >= planAt) {
+            planAt = ctx.now + PLAN_S
+            plan()
+        }
+    }
+
+    private fun list(from: String, found: ArrayList<JsonNode>, term: Long) {
+        val after = if (from.isEmpty()) "" else "from=$from&"
+        ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=500", null, CLOUD_TIMEOUT_S) { outcome ->
+            val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
+            val page = body?.get("drovers")?.takeIf { it.isArray }
+            if (page == null || !mine(term)) {
+                listBusy = false
+                return@call
+            }
+            found.addAll(page)
+            if (body.path("truncated").asBoolean() && page.size() > 0) {
+                list(page.last().path("id").asText(), found, term)
+            } else {
+                listBusy = false
+                listed(found)
+            }
+        }
+    }
+
+    private fun listed(found: List<JsonNode>) {
+        everListed = true
+        val names = HashSet<String>()
+        for (node in found) {
+            val id = node.path("id").asText("")
+            if (id.isEmpty()) continue
+            names += id
+            if (workers.isReturned(id)) continue
+            val machine = workers.machine(id)
+            machine.type = node.path("breed").asText(machine.type)
+            machine.zone = node.path("yard").asText(machine.zone)
+            machine.spot = node.path("loaners").asBoolean(machine.spot)
+            machine.listed = true
+            machine.listedAgeS = maxOf(machine.listedAgeS, node.path("ageS").asDouble(0.0))
+            if (machine.rentedAt == 0.0) machine.rentedAt = ctx.now - machine.listedAgeS
+            machine.starting = node.path("standing").asText() == "starting" && !machine.up
+            if (node.path("standing").asText() == "failed") machine.leaving = true
+            if (machine.address == null) {
+                node.path("addr").asText("").let { text ->
+                    text.substringAfterLast(':', "").toIntOrNull()?.let { machine.address = Endpoint(text.substringBeforeLast(':'), it) }
+                }
+            }
+        }
+        // A list may be older than the one before, so only a machine older than any list can be is missed from it.
+        for (machine in workers.machines.values.toList()) {
+            if (machine.listed && machine.id !in names && machine.listedAgeS > lag * OLDEST_LIST) workers.gone(machine, "the cloud no longer lists it")
+        }
+    }
+
+    // --- rentals
+
+    fun load(row: Row) {
+        val v = row.value
+        val rental = Rental(row.key.substringAfter('/'), Offer(v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean()), v.path("n").asInt())
+        rental.stamp = row.stamp
+        // Called or not, by a leader that is gone: unknown, until the list must show what came of it.
+        rental.calledAt = ctx.now
+        rentals[rental.step] = rental
+    }
+
+    private fun settleRentals() {
+        for (rental in rentals.values.toList()) {
+            if (rental.settledAt == null && rental.calledAt > 0 && ctx.now > rental.calledAt + CLOUD_TIMEOUT_S + lag * OLDEST_LIST) {
+                ctx.info("rental ${rental.step}: outcome unknown, and the cloud's list has caught up")
+                rental.settledAt = ctx.now
+            }
+            val settled = rental.settledAt ?: continue
+            if (rental.stamp > 0 && ctx.now >= settled) forget(rental)
+        }
+    }
+
+    private fun forget(rental: Rental) {
+        rental.stamp = 0
+        store.ensure(Txn(listOf(ledger.fence()), listOf(Op.Delete("rental/${rental.step}"))), Urgency.CLEANUP, { leadership.leading }) {
+            rentals.remove(rental.step)
+        }
+    }
+
+    private fun rent(offer: Offer, count: Int, reason: String) {
+        val rental = Rental("${leadership.term}-${nextStep++}", offer, count.coerceAtMost(MOST_PER_CALL))
+        rentals[rental.step] = rental
+        ctx.info("rental ${rental.step}: ${rental.count} of ${offer.type} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $reason")
+        val row =
+            Json.obj {
+                put("st", "claimed")
+                put("type", offer.type)
+                put("zone", offer.zone)
+                put("spot", offer.spot)
+                put("n", rental.count)
+                put("tok", leadership.term)
+            }
+        val term = leadership.term
+        val txn = Txn(listOf(ledger.fence(), Condition("rental/${rental.step}", 0)), listOf(Op.Put("rental/${rental.step}", row)))
+        store.ensure(txn, Urgency.CLAIM, { mine(term) }) { result ->
+            when {
+                result is TxnResult.Done -> {
+                    rental.stamp = result.revision
+                    order(rental, term)
+                }
+                result is TxnResult.Conflict && Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
+                // An earlier copy of this very claim was applied.
+                result is TxnResult.Conflict -> {
+                    rental.stamp = 1
+                    order(rental, term)
+                }
+                else -> rentals.remove(rental.step)
+            }
+        }
+    }
+
+    private fun order(rental: Rental, term: Long) {
+        rental.calledAt = ctx.now
+        val offer = rental.offer
+        val body =
+            Json.obj {
+                put("hire", "r-${rental.step}")
+                put("breed", offer.type)
+                put("yard", offer.zone)
+                put("loaners", offer.spot)
+                put("number", rental.count)
+            }
+        ctx.call(ctx.settings.cloud, "POST", "/rentals", Json.write(body), CLOUD_TIMEOUT_S) { outcome ->
+            if (!mine(term)) return@call
+            val answer = outcome as? Outcome.Answered
+            val names = answer?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body)?.get("drovers") }?.takeIf { it.isArray }
+            when {
+                names != null -> {
+                    ctx.info("rental ${rental.step}: got ${names.size()} of ${rental.count}")
+                    names.forEach { name ->
+                        val machine = workers.machine(name.asText())
+                        if (!machine.up && !machine.listed) {
+                            machine.type = offer.type
+                            machine.zone = offer.zone
+                            machine.spot = offer.spot
+                            machine.starting = true
+                            machine.rentedAt = ctx.now
+                        }
+                    }
+                    refusals.remove(offer)
+                    if (names.size() < rental.count) refuse(offer)
+                    rental.settledAt = ctx.now
+                    rental.expected = 0
+                }
+                answer != null && (answer.status == 503 || answer.status == 429 || answer.status == 400) || outcome is Outcome.NotSent -> {
+                    ctx.info("rental ${rental.step}: refused: ${answer?.status ?: "no connection"} ${answer?.body.orEmpty()}")
+                    refuse(offer)
+                    rental.settledAt = ctx.now
+                    rental.expected = 0
+                }
+                else -> ctx.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
+            }
+        }
+    }
+
+    private fun refuse(offer: Offer) {
+        val times = refusals.merge(offer, 1, Int::plus) ?: 1
+        refusedUntil[offer] = ctx.now + minOf(REFUSED_S * times, REFUSED_S * 4)
+    }
+
+    // --- the plan
+
+    private fun plan() {
+        val types = catalog ?: return
+        discard(types)
+        if (demand.lavish) rentEverything(types) else rentNeeded(types)
+    }
+
+    /** Machines that failed, or whose boot has taken far too long, go back. */
+    private fun discard(types: Catalog) {
+        for (machine in workers.machines.values) {
+            val boot = types.types[machine.type]?.bootS ?: continue
+            val overdue = !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
+            if (overdue && !machine.leaving) {
+                ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
+                machine.leaving = true
+            }
+        }
+        giveBack(workers.machines.values.filter { it.leaving && !it.returning && ledger.byMachine[it.id].isNullOrEmpty() }.take(MOST_PER_RETURN))
+    }
+
+    private fun giveBack(list: List<Machine>) {
+        if (list.isEmpty()) return
+        list.forEach {
+            it.returning = true
+            it.leaving = true
+        }
+        val body = Json.obj { putArray("drovers").also { names -> list.forEach { m -> names.add(m.id) } } }
+        val term = leadership.term
+        ctx.info("returning ${list.joinToString { it.id }}")
+        ctx.call(ctx.settings.cloud, "POST", "/rentals/return", Json.write(body), CLOUD_TIMEOUT_S * 2) { outcome ->
+            if (!mine(term)) return@call
+            if ((outcome as? Outcome.Answered)?.status == 200) {
+                list.forEach { workers.gone(it, "returned") }
+            } else {
+                list.forEach { m -> ctx.later(RETRY_S) { m.returning = false } }
+            }
+        }
+    }
+
+    private fun pendingOf(offer: Offer): Int = rentals.values.filter { it.offer == offer }.sumOf { it.expected }
+
+    private fun open(offer: Offer): Boolean = ctx.now >= (refusedUntil[offer] ?: 0.0) && pendingOf(offer) == 0
+
+    private fun rentEverything(types: Catalog) {
+        for (type in types.types.values) {
+            for (zone in type.zones) {
+                for (spot in listOf(true, false)) {
+                    val offer = Offer(type.name, zone, spot)
+                    if (open(offer)) rent(offer, LAVISH_STEP, "every machine counts for the aims")
+                }
+            }
+        }
+    }
+
+    private fun rentNeeded(types: Catalog) {
+        val coming =
+            workers.machines.values
+                .filter { !it.leaving && it.recallAt == null && !(it.up && (it.lapsed || workers.silent(it))) }
+                .mapNotNull { m ->
+                    val whole = types.types[m.type]?.size ?: return@mapNotNull null
+                    var free = whole
+                    ledger.byMachine[m.id]?.values?.forEach { free -= it.charge.size }
+                    Slot(m.type, m.zone, m.spot, free)
+                }.toMutableList()
+        rentals.values.forEach { r -> types.types[r.offer.type]?.let { t -> repeat(r.expected) { coming += Slot(t.name, r.offer.zone, r.offer.spot, t.size) } } }
+        val wanted = LinkedHashMap<Offer, Int>()
+        for ((spec, tasks) in demand.wanted()) {
+            repeat(tasks) {
+                val slot = coming.filter { it.allows(spec) && spec.size.fits(it.free) }.minByOrNull { it.free.cpus }
+                if (slot != null) {
+                    slot.free -= spec.size
+                } else {
+                    val offer = cheapest(types, spec) ?: return@repeat
+                    val type = types.types.getValue(offer.type)
+                    wanted.merge(offer, 1, Int::plus)
+                    coming += Slot(offer.type, offer.zone, offer.spot, type.size - spec.size)
+                }
+            }
+        }
+        wanted.forEach { (offer, count) -> if (open(offer)) rent(offer, count, "waiting and expected tasks have no room") }
+        returnIdle(coming)
+    }
+
+    private class Slot(val type: String, val zone: String, val spot: Boolean, var free: Size) {
+        fun allows(spec: JobSpec): Boolean = (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) && (spec.spot || !spot)
+    }
+
+    private fun cheapest(types: Catalog, spec: JobSpec): Offer? =
+        types
+            .allowed(spec)
+            .flatMap { type ->
+                type.zones.filter { spec.zone == null || it == spec.zone }.flatMap { zone ->
+                    listOf(true, false).filter { !it || spec.spot }.map { spot -> Offer(type.name, zone, spot) to (if (spot) type.spotPrice else type.price) / fitting(type, spec) }
+                }
+            }.filter { ctx.now >= (refusedUntil[it.first] ?: 0.0) }
+            .minByOrNull { it.second }
+            ?.first
+
+    private fun fitting(type: MachineType, spec: JobSpec): Double {
+        val byCpu = if (spec.size.cpus > 0) type.size.cpus / spec.size.cpus else 1e3
+        val byMemory = if (spec.size.memoryGb > 0) type.size.memoryGb / spec.size.memoryGb else 1e3
+        return Math.floor(minOf(byCpu, byMemory)).coerceAtLeast(1.0)
+    }
+
+    private fun returnIdle(after: List<Slot>) {
+        val idle =
+            workers.machines.values.filter { m ->
+                m.up && !m.leaving && m.idleSince > 0 && ctx.now > m.idleSince + IDLE_S && ledger.byMachine[m.id].isNullOrEmpty()
+            }
+        if (idle.isEmpty()) return
+        // Only machines that the expected tasks leave wholly free are spare.
+        val spare = after.filter { s -> catalog?.types?.get(s.type)?.size == s.free }.groupingBy { Offer(it.type, it.zone, it.spot) }.eachCount().toMutableMap()
+        val back =
+            idle.sortedBy { it.idleSince }.filter { m ->
+                val offer = Offer(m.type, m.zone, m.spot)
+                val left = spare[offer] ?: 0
+                if (left > 0) spare[offer] = left - 1
+                left > 0
+            }
+        giveBack(back.take(MOST_PER_RETURN))
+    }
+
+    private companion object {
+        const val CATALOG_S = 60.0
+        const val CLOUD_TIMEOUT_S = 3.0
+        const val PLAN_S = 1.0
+        const val RETRY_S = 2.0
+        const val MOST_PER_CALL = 50
+        const val MOST_PER_RETURN = 100
+
+        /** A list is at most twice its usual lag old; the rest is margin. */
+        const val OLDEST_LIST = 3.0
+        const val OVERDUE_BOOTS = 3.0
+        const val REFUSED_S = 15.0
+        const val LAVISH_STEP = 4
+        const val IDLE_S = 30.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -0,0 +1,298 @@
+package burlridge.intake
+
+import burlridge.app.Answer
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.fleet.Fleet
+import burlridge.intent.Job
+import burlridge.intent.Ledger
+import burlridge.intent.Standing
+import burlridge.leadership.Leadership
+import burlridge.peer.Peers
+import burlridge.store.Condition
+import burlridge.store.Op
+import burlridge.store.Read
+import burlridge.store.Store
+import burlridge.store.Txn
+import burlridge.store.TxnResult
+import burlridge.store.Urgency
+import com.fasterxml.jackson.databind.JsonNode
+
+/** What users ask: submit, query, abort. Nothing is held back; what cannot be done now is refused at once. */
+internal class Intake(
+    private val ctx: Context,
+    private val store: Store,
+    private val leadership: Leadership,
+    private val ledger: Ledger,
+    private val fleet: Fleet,
+    private val peers: Peers,
+    private val onAccepted: () -> Unit,
+) {
+    /** Set once a new leader has read all rows. */
+    var loaded: Boolean = false
+    private val decides: Boolean get() = loaded && leadership.standing
+
+    // --- submit
+
+    fun submit(body: String, then: (Answer) -> Unit) {
+        val node = Json.parseOrNull(body)
+        val spec =
+            try {
+                JobSpec.parse(node)
+            } catch (e: BadJob) {
+                refuseUnlessKnown(node, Answer.error(400, e.message.orEmpty()), then)
+                return
+            }
+        known(spec)?.let { return then(it) }
+        val types = fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
+        val never = neverRuns(spec, types.allowed(spec).isEmpty())
+        if (never != null) return lookUpOr(spec.id, spec.fingerprint, Answer.error(422, never), then)
+        create(spec, then)
+    }
+
+    private fun known(spec: JobSpec): Answer? {
+        ledger.end(spec.id)?.let { return if (it.fingerprint == spec.fingerprint) told(spec.id, it.standing) else changed(spec.id) }
+        if (!decides) return null
+        val job = ledger.jobs[spec.id] ?: return null
+        return if (job.spec.fingerprint == spec.fingerprint) told(spec.id, job.standing) else changed(spec.id)
+    }
+
+    private fun changed(id: String) = Answer.error(409, "$id has been submitted with another description")
+
+    private fun neverRuns(spec: JobSpec, fitsNothing: Boolean): String? {
+        val team = ctx.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
+        if (team.cpusMax > 0 && spec.size.cpus > team.cpusMax) return "a task needs more CPUs than the limit of ${team.name}"
+        if (team.gpusMax > 0 && spec.size.gpus > team.gpusMax) return "a task needs more GPUs than the limit of ${team.name}"
+        return if (fitsNothing) "a task fits no allowed machine type" else null
+    }
+
+    private fun refuseUnlessKnown(node: JsonNode?, refusal: Answer, then: (Answer) -> Unit) {
+        val id = node?.path("id")?.takeIf { it.isTextual }?.asText()
+        if (id == null || !JobSpec.isId(id)) then(refusal) else lookUpOr(id, null, refusal, then)
+    }
+
+    /** A repeat of an accepted job is never called invalid, so the rows are asked before a refusal. */
+    private fun lookUpOr(id: String, fingerprint: String?, refusal: Answer, then: (Answer) -> Unit) {
+        readRows(id) { found ->
+            when {
+                found == null -> then(Answer.unavailable("the state service does not answer"))
+                found is Found.Nothing -> then(refusal)
+                fingerprint == null || found.fingerprint == fingerprint -> then(told(id, found.standing))
+                else -> then(changed(id))
+            }
+        }
+    }
+
+    private fun create(spec: JobSpec, then: (Answer) -> Unit) {
+        val row =
+            Json.obj {
+                set<JsonNode>("job", spec.encode())
+                put("fp", spec.fingerprint)
+                put("at", ctx.wallMs)
+            }
+        val txn =
+            Txn(
+                listOf(Condition("live/${spec.id}", 0), Condition("over/${spec.id}", 0)),
+                listOf(Op.Put("live/${spec.id}", row)),
+            )
+        store.txn(txn, Urgency.USER, PATIENCE_S) { result ->
+            when (result) {
+                is TxnResult.Done -> {
+                    accepted(spec, row, result.revision)
+                    then(Answer(201, standing(spec.id, Standing.QUEUED)))
+                }
+                is TxnResult.Conflict -> lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("try again"), then)
+                TxnResult.Unknown -> then(Answer.unavailable("the state service has not answered"))
+                TxnResult.Refused, TxnResult.NoLease -> then(Answer.unavailable("the state service takes no more at the moment"))
+            }
+        }
+    }
+
+    private fun accepted(spec: JobSpec, row: JsonNode, stamp: Long) {
+        if (leadership.leading) {
+            if (loaded) {
+                ledger.admit(spec.id, row, stamp)
+                onAccepted()
+            }
+        } else {
+            peers.tellAccepted(spec.id)
+        }
+    }
+
+    // --- query
+
+    fun query(id: String, then: (Answer) -> Unit) {
+        if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
+        local(id)?.let { return then(it) }
+        val leader = leadership.knownLeader
+        if (leadership.leading || leader == null || leader == ctx.settings.member) return queryRows(id, then)
+        peers.ask(leader, "GET", "/api/jobs/$id", "", ASK_S) { answer ->
+            if (answer != null && answer.status != 503) {
+                noteEnd(id, answer)
+                then(answer)
+            } else {
+                queryRows(id, then)
+            }
+        }
+    }
+
+    private fun noteEnd(id: String, answer: Answer) {
+        val body = Json.parseOrNull(answer.body) ?: return
+        val standing = body.path("standing").asText()
+        if (answer.status == 200 && (standing == Standing.DONE.wire || standing == Standing.WITHDRAWN.wire) && body.path("fp").isTextual) {
+            ledger.learnEnd(
+                id,
+                Json.obj {
+                    put("st", standing)
+                    put("fp", body.path("fp").asText())
+                    put("n", body.path("done").asInt())
+                },
+            )
+        }
+    }
+
+    private fun local(id: String): Answer? {
+        ledger.end(id)?.let { return Answer(200, ended(id, it)) }
+        val job = ledger.jobs[id] ?: return null
+        return if (decides) Answer(200, progress(job)) else null
+    }
+
+    private fun queryRows(id: String, then: (Answer) -> Unit) {
+        readRows(id) { found ->
+            when (found) {
+                null -> then(Answer.unavailable("the state service does not answer"))
+                is Found.Nothing -> then(Answer.error(404, "no such job"))
+                is Found.Live -> then(local(id) ?: Answer(200, standing(id, Standing.QUEUED)))
+                is Found.Over -> then(Answer(200, ended(id, found.end)))
+            }
+        }
+    }
+
+    private sealed interface Found {
+        val fingerprint: String?
+        val standing: Standing
+
+        data object Nothing : Found {
+            override val fingerprint: String? = null
+            override val standing: Standing = Standing.QUEUED
+        }
+
+        data class Live(override val fingerprint: String) : Found {
+            override val standing: Standing = Standing.QUEUED
+        }
+
+        data class Over(val end: Ledger.End) : Found {
+            override val fingerprint: String = end.fingerprint
+            override val standing: Standing = end.standing
+        }
+    }
+
+    /** The live row first: a job moves from there to its end, so one that is missed there is found here. Null when a read failed. */
+    private fun readRows(id: String, then: (Found?) -> Unit) {
+        store.get("live/$id", Urgency.USER) { live ->
+            when (live) {
+                is Read.Found -> then(Found.Live(live.value.value.path("fp").asText()))
+                Read.Failed -> then(null)
+                Read.Absent ->
+                    store.get("over/$id", Urgency.USER) { over ->
+                        when (over) {
+                            is Read.Found -> then(ledger.learnEnd(id, over.value.value)?.let { Found.Over(it) })
+                            Read.Absent -> then(Found.Nothing)
+                            Read.Failed -> then(null)
+                        }
+                    }
+            }
+        }
+    }
+
+    // --- abort
+
+    fun abort(id: String, then: (Answer) -> Unit) {
+        if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
+        ledger.end(id)?.let { return then(told(id, it.standing)) }
+        val leader = leadership.knownLeader
+        when {
+            decides -> abortHere(id, then)
+            leadership.leading || leader == null || leader == ctx.settings.member -> then(Answer.unavailable("no leader at the moment"))
+            else ->
+                peers.ask(leader, "POST", "/api/jobs/$id/abort", "", ABORT_S) { answer ->
+                    answer?.let { noteEnd(id, it) }
+                    then(answer ?: Answer.unavailable("the leader does not answer"))
+                }
+        }
+    }
+
+    private fun abortHere(id: String, then: (Answer) -> Unit) {
+        val job = ledger.jobs[id]
+        if (job != null) return withdraw(job, then)
+        val term = leadership.term
+        store.get("live/$id", Urgency.USER) { live ->
+            when (live) {
+                is Read.Found -> {
+                    val found = if (leadership.term == term && decides) ledger.admit(id, live.value.value, live.value.stamp) else null
+                    if (found != null) withdraw(found, then) else then(ledger.end(id)?.let { told(id, it.standing) } ?: Answer.unavailable("try again"))
+                }
+                Read.Failed -> then(Answer.unavailable("the state service does not answer"))
+                Read.Absent ->
+                    lookUpOr(id, null, Answer.error(404, "no such job"), then)
+            }
+        }
+    }
+
+    private fun withdraw(job: Job, then: (Answer) -> Unit) {
+        var told = false
+        job.whenOver += { standing ->
+            if (!told) {
+                told = true
+                then(told(job.spec.id, standing))
+            }
+        }
+        ctx.later(ABORT_S * 0.8) {
+            if (!told) {
+                told = true
+                then(Answer.unavailable("the state service has not answered"))
+            }
+        }
+        ledger.finish(job, Standing.WITHDRAWN)
+    }
+
+    // --- bodies
+
+    private fun told(id: String, standing: Standing) = Answer(200, standing(id, standing))
+
+    private fun standing(id: String, standing: Standing): String =
+        Json.write(
+            Json.obj {
+                put("id", id)
+                put("standing", standing.wire)
+                ledger.end(id)?.let { put("fp", it.fingerprint) }
+            },
+        )
+
+    private fun progress(job: Job): String =
+        Json.write(
+            Json.obj {
+                put("id", job.spec.id)
+                put("standing", job.standing.wire)
+                put("done", job.done.cardinality())
+                put("running", job.running)
+            },
+        )
+
+    private fun ended(id: String, end: Ledger.End): String =
+        Json.write(
+            Json.obj {
+                put("id", id)
+                put("standing", end.standing.wire)
+                put("done", if (end.standing == Standing.DONE) end.tasks else 0)
+                put("running", 0)
+                put("fp", end.fingerprint)
+            },
+        )
+
+    private companion object {
+        const val PATIENCE_S = 0.8
+        const val ASK_S = 0.6
+        const val ABORT_S = 1.5
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/intake/JobSpec.kt
@@ -0,0 +1,158 @@
+package burlridge.intake
+
+import burlridge.app.Json
+import com.fasterxml.jackson.databind.JsonNode
+import com.google.common.hash.Hashing
+
+internal enum class Priority(val wire: String) {
+    PRODUCTION("prod"),
+    HIGH("high"),
+    NORMAL("normal"),
+    LOW("best_effort"),
+    ;
+
+    internal companion object {
+        fun of(wire: String): Priority? = entries.firstOrNull { it.wire == wire }
+    }
+}
+
+/** What one task takes of its machine. */
+internal data class Size(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+    fun fits(free: Size): Boolean = cpus <= free.cpus + SLACK && gpus <= free.gpus + SLACK && memoryGb <= free.memoryGb + SLACK
+
+    operator fun minus(other: Size): Size = Size(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
+
+    operator fun plus(other: Size): Size = Size(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb)
+
+    internal companion object {
+        private const val SLACK = 1e-9
+        val NONE = Size(0.0, 0.0, 0.0)
+    }
+}
+
+/** A job as its owner described it. */
+internal data class JobSpec(
+    val id: String,
+    val lane: String,
+    val team: String,
+    val priority: Priority,
+    val tasks: Int,
+    val size: Size,
+    val image: String,
+    val imageGb: Double,
+    val types: List<String>?,
+    val zone: String?,
+    val oneZone: Boolean,
+    val spread: Boolean,
+    val spot: Boolean,
+    val estimateS: Double,
+    val checkpointS: Double,
+    val saveS: Double,
+    val deadlineS: Double?,
+) {
+    /** The same for every repeat of the same submission. */
+    val fingerprint: String by lazy {
+        Hashing.sha256().hashUnencodedChars(Json.write(encode())).toString().take(FINGERPRINT_CHARS)
+    }
+
+    fun encode(): JsonNode =
+        Json.obj {
+            put("id", id)
+            put("lane", lane)
+            put("crew", team)
+            put("shape", "array")
+            put("urgency", priority.wire)
+            put("pieces", tasks)
+            put("vcpus", size.cpus)
+            put("gpus", size.gpus)
+            put("ramGb", size.memoryGb)
+            put("bundle", image)
+            put("pullGb", imageGb)
+            types?.let { all -> putArray("breeds").also { array -> all.forEach(array::add) } }
+            zone?.let { put("yard", it) }
+            put("together", oneZone)
+            put("spread", spread)
+            put("loaners", spot)
+            put("guessS", estimateS)
+            put("markEveryS", checkpointS)
+            put("markCostS", saveS)
+            deadlineS?.let { put("dueS", it) }
+        }
+
+    internal companion object {
+        private const val FINGERPRINT_CHARS = 16
+        const val MOST_TASKS = 100_000
+        private const val LONGEST_TEXT = 200
+        private const val MOST_TYPES = 30
+        private val ID = Regex("j-[0-9]{1,18}")
+
+        fun isId(text: String): Boolean = ID.matches(text)
+
+        fun parse(body: JsonNode?): JobSpec {
+            if (body == null) throw BadJob("the body is not JSON")
+            if (!body.isObject) throw BadJob("the body is not an object")
+            val id = body.string("id")
+            if (!isId(id)) throw BadJob("id must look like j-000412")
+            if (body.string("shape") != "array") throw BadJob("shape must be \"array\"")
+            val tasks = body.whole("pieces")
+            if (tasks !in 1..MOST_TASKS) throw BadJob("pieces must be from 1 to $MOST_TASKS")
+            val size = Size(body.amount("vcpus"), body.amount("gpus"), body.amount("ramGb"))
+            return JobSpec(
+                id = id,
+                lane = body.string("lane"),
+                team = body.string("crew"),
+                priority = Priority.of(body.string("urgency")) ?: throw BadJob("urgency must be one of ${Priority.entries.map { it.wire }}"),
+                tasks = tasks.toInt(),
+                size = size,
+                image = body.string("bundle"),
+                imageGb = body.amount("pullGb"),
+                types = body.types(),
+                zone = body.present("yard")?.let { body.string("yard") },
+                oneZone = body.flag("together"),
+                spread = body.flag("spread"),
+                spot = body.flag("loaners"),
+                estimateS = body.amount("guessS"),
+                checkpointS = body.amount("markEveryS"),
+                saveS = body.amount("markCostS"),
+                deadlineS = body.present("dueS")?.let { body.amount("dueS") },
+            )
+        }
+
+        private fun JsonNode.present(name: String): JsonNode? = get(name)?.takeIf { !it.isNull }
+
+        private fun JsonNode.need(name: String): JsonNode = present(name) ?: throw BadJob("$name is missing")
+
+        private fun JsonNode.string(name: String): String {
+            val node = need(name)
+            if (!node.isTextual) throw BadJob("$name must be a text")
+            val text = node.asText()
+            if (text.isEmpty() || text.length > LONGEST_TEXT) throw BadJob("$name must have 1 to $LONGEST_TEXT characters")
+            return text
+        }
+
+        private fun JsonNode.amount(name: String): Double {
+            val node = need(name)
+            if (!node.isNumber || !node.asDouble().isFinite() || node.asDouble() < 0) throw BadJob("$name must be a number from 0")
+            return node.asDouble()
+        }
+
+        private fun JsonNode.whole(name: String): Long {
+            val node = need(name)
+            val value = node.asDouble()
+            if (!node.isNumber || value != Math.rint(value) || !value.isFinite()) throw BadJob("$name must be a whole number")
+            return node.asLong()
+        }
+
+        private fun JsonNode.flag(name: String): Boolean = need(name).takeIf { it.isBoolean }?.asBoolean() ?: throw BadJob("$name must be true or false")
+
+        private fun JsonNode.types(): List<String>? {
+            val node = present("breeds") ?: return null
+            if (!node.isArray || node.size() > MOST_TYPES || node.any { !it.isTextual || it.asText().length > LONGEST_TEXT }) {
+                throw BadJob("breeds must be null or a list of at most $MOST_TYPES names")
+            }
+            return node.map { it.asText() }
+        }
+    }
+}
+
+internal class BadJob(reason: String) : Exception(reason)
--- /dev/null
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -0,0 +1,87 @@
+package burlridge.intent
+
+import burlridge.intake.JobSpec
+import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import java.util.BitSet
+
+internal enum class Standing(val wire: String) { QUEUED("queued"), RUNNING("running"), DONE("done"), WITHDRAWN("withdrawn") }
+
+/** An accepted job that is not over, as its leader knows it. */
+internal class Job(val spec: JobSpec, val stamp: Long, val submittedMs: Long) {
+    val done: BitSet = BitSet()
+    val durable: BitSet = BitSet()
+
+    /** Stamps of the progress rows, one for each chunk of tasks. */
+    val progress: Int2ObjectOpenHashMap<Long> = Int2ObjectOpenHashMap()
+    val claims: Int2ObjectOpenHashMap<Claim> = Int2ObjectOpenHashMap()
+    val lastRun: Int2IntOpenHashMap = Int2IntOpenHashMap()
+    val notBefore: Int2DoubleOpenHashMap = Int2DoubleOpenHashMap()
+    val whenOver: ArrayList<(Standing) -> Unit> = ArrayList()
+    var failures: Int = 0
+    var flushing: Boolean = false
+    var lastFlushAt: Double = 0.0
+
+    /** The end that is being written, and once written, told. */
+    var ending: Standing? = null
+    var over: Standing? = null
+
+    val standing: Standing
+        get() = over ?: if (running > 0) Standing.RUNNING else Standing.QUEUED
+
+    val running: Int get() = claims.values.count { it.phase == Phase.RUNNING }
+
+    val complete: Boolean get() = done.cardinality() == spec.tasks
+
+    fun waits(task: Int, now: Double): Boolean = !done.get(task) && !claims.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= now
+}
+
+internal enum class Phase {
+    /** The row's outcome is not known yet. */
+    CLAIMING,
+
+    /** Claimed, and no command has left. */
+    CLAIMED,
+
+    /** A command has left, its outcome open. */
+    SENT,
+
+    /** The machine has it, fetching its image. */
+    FETCHING,
+    RUNNING,
+    SAVING,
+    ENDED,
+}
+
+/** The intent to run one task once: job, task and run number are its key. */
+internal class Claim(
+    val job: String,
+    val task: Int,
+    val run: Int,
+    val machine: String,
+    val session: Long,
+    val charge: Charge,
+    var phase: Phase = Phase.CLAIMING,
+) {
+    val piece: String get() = "$job/$task"
+    var round: Round? = null
+    var lost: Boolean = false
+    var claimedAt: Double = 0.0
+    var startedAt: Double = 0.0
+
+    /** Set once the task is to be stopped, with the time it is given. */
+    var stopGraceS: Double? = null
+    var stopSentAt: Double = -1e9
+    val ended: Boolean get() = phase == Phase.ENDED
+}
+
+/** What a claim takes, and whose limit it counts against; kept with the row since a claim can outlive its job's row. */
+internal data class Charge(val team: String, val size: burlridge.intake.Size)
+
+/** One row: the starts claimed in one placement round. */
+internal class Round(val number: String, val claims: List<Claim>) {
+    var stamp: Long = 0
+    var stale: Boolean = false
+    var writing: Boolean = false
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/peer/PeerMessage.kt
@@ -0,0 +1,47 @@
+package burlridge.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.protobuf.ProtoBuf
+
+/** What controllers say to one another. */
+@Serializable
+internal sealed interface PeerMessage {
+    val from: String
+
+    /** Sent at a steady pace. [answering] is false once this member answers no worker and never will again below [term]. */
+    @Serializable
+    @SerialName("s")
+    data class Status(
+        override val from: String,
+        val term: Long,
+        val leader: String,
+        val leading: Boolean,
+        val answering: Boolean,
+        val storeServed: Boolean,
+    ) : PeerMessage
+
+    /** A request passed on to the leader. */
+    @Serializable
+    @SerialName("a")
+    data class Ask(override val from: String, val ask: Long, val method: String, val path: String, val body: String) : PeerMessage
+
+    @Serializable
+    @SerialName("r")
+    data class Reply(override val from: String, val ask: Long, val status: Int, val body: String, val retryAfterS: Int) : PeerMessage
+
+    /** News of a job whose row [from] has just written. */
+    @Serializable
+    @SerialName("j")
+    data class Accepted(override val from: String, val job: String) : PeerMessage
+
+    @OptIn(ExperimentalSerializationApi::class)
+    companion object {
+        fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(serializer(), message)
+
+        fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(serializer(), bytes)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/peer/Peers.kt
@@ -0,0 +1,39 @@
+package burlridge.peer
+
+import burlridge.app.Answer
+import burlridge.app.Context
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
+
+/** Links between the controllers: statuses, requests passed to the leader, and news of accepted jobs. */
+internal class Peers(private val ctx: Context) {
+    private val asked = Long2ObjectOpenHashMap<(Answer?) -> Unit>()
+    private var nextAsk = 1L
+    private val heardAt = HashMap<String, Double>()
+
+    fun heard(member: String) {
+        heardAt[member] = ctx.now
+    }
+
+    fun silent(member: String): Boolean = ctx.now > (heardAt[member] ?: -1e9) + SILENT_S
+
+    /** Asks [member]; null when it does not answer in time. A member long unheard of is not waited for. */
+    fun ask(member: String, method: String, path: String, body: String, patienceS: Double, then: (Answer?) -> Unit) {
+        if (silent(member)) return then(null)
+        val id = nextAsk++
+        asked.put(id, then)
+        ctx.send(member, PeerMessage.Ask(ctx.settings.member, id, method, path, body))
+        ctx.later(patienceS) { asked.remove(id)?.invoke(null) }
+    }
+
+    fun replied(reply: PeerMessage.Reply) {
+        asked.remove(reply.ask)?.invoke(Answer(reply.status, reply.body, reply.retryAfterS.takeIf { it > 0 }))
+    }
+
+    fun tellAccepted(job: String) {
+        ctx.settings.others.forEach { ctx.send(it.member, PeerMessage.Accepted(ctx.settings.member, job)) }
+    }
+
+    private companion object {
+        const val SILENT_S = 2.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -0,0 +1,232 @@
+package burlridge.store
+
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.app.Outcome
+import com.fasterxml.jackson.databind.JsonNode
+
+internal data class Row(val key: String, val value: JsonNode, val stamp: Long)
+
+internal data class Condition(val key: String, val stamp: Long)
+
+internal sealed interface Op {
+    data class Put(val key: String, val value: JsonNode, val tether: Long? = null) : Op
+
+    data class Delete(val key: String) : Op
+}
+
+internal data class Txn(val conditions: List<Condition>, val ops: List<Op>)
+
+internal sealed interface TxnResult {
+    data class Done(val revision: Long) : TxnResult
+
+    data class Conflict(val failed: List<String>) : TxnResult
+
+    /** Definitely not executed. */
+    data object Refused : TxnResult
+
+    /** Possibly executed, or still to be executed. */
+    data object Unknown : TxnResult
+
+    /** The tether is gone, whatever the conditions are. */
+    data object NoLease : TxnResult
+}
+
+internal sealed interface Read<out T> {
+    data class Found<T>(val value: T) : Read<T>
+
+    data object Absent : Read<Nothing>
+
+    data object Failed : Read<Nothing>
+}
+
+internal data class Listing(val rows: List<Row>, val revision: Long)
+
+/** The client of the state service. Writes wait in a queue for this member's part of the shared budget. */
+internal class Store(private val ctx: Context) {
+    private val settings = ctx.settings
+    private val writes = Bucket(settings.store.writeRps / settings.controllers)
+    private val requests = Bucket(settings.store.rps / settings.controllers)
+    private val queues = Urgency.entries.associateWith { ArrayDeque<Waiting>() }
+    private var leads = false
+    private var lastServedAt = 0.0
+    private var lastRefusedAt = -1.0
+    private var pausedUntil = 0.0
+
+    private class Waiting(val cost: Int, val since: Double, val patienceS: Double, val send: () -> Unit, val drop: () -> Unit)
+
+    /** Whether the state service has lately answered this member with anything but a refusal. */
+    val served: Boolean get() = lastRefusedAt < lastServedAt || ctx.now - lastServedAt < CALL_TIMEOUT_S
+
+    fun leading(yes: Boolean) {
+        leads = yes
+    }
+
+    fun get(key: String, urgency: Urgency, then: (Read<Row>) -> Unit) {
+        enqueue(urgency, 0, READ_PATIENCE_S, { then(Read.Failed) }) {
+            call("GET", "/store/$key", null, CALL_TIMEOUT_S) { status, body ->
+                val value = body?.get("value")
+                when {
+                    status == 200 && value != null -> then(Read.Found(Row(key, value, body.path("stamp").asLong())))
+                    status == 404 -> then(Read.Absent)
+                    else -> then(Read.Failed)
+                }
+            }
+        }
+    }
+
+    fun list(prefix: String, urgency: Urgency, then: (Listing?) -> Unit) {
+        page(prefix, "", urgency, ArrayList(), 0L, then)
+    }
+
+    private fun page(prefix: String, from: String, urgency: Urgency, rows: ArrayList<Row>, firstRevision: Long, then: (Listing?) -> Unit) {
+        enqueue(urgency, 0, READ_PATIENCE_S, { then(null) }) {
+            val after = if (from.isEmpty()) "" else "&from=$from"
+            call("GET", "/store?starts=$prefix$after&limit=$PAGE", null, CALL_TIMEOUT_S) { status, body ->
+                val pairs = body?.get("pairs")
+                if (status != 200 || pairs == null || !pairs.isArray) {
+                    then(null)
+                } else {
+                    pairs.forEach { rows += Row(it.path("key").asText(), it.path("value"), it.path("stamp").asLong()) }
+                    val revision = if (from.isEmpty()) body.path("ledgerRev").asLong() else firstRevision
+                    if (body.path("truncated").asBoolean() && rows.isNotEmpty()) {
+                        page(prefix, rows.last().key, urgency, rows, revision, then)
+                    } else {
+                        then(Listing(rows, revision))
+                    }
+                }
+            }
+        }
+    }
+
+    fun txn(txn: Txn, urgency: Urgency, patienceS: Double = WRITE_PATIENCE_S, then: (TxnResult) -> Unit) {
+        val body =
+            Json.write(
+                Json.obj {
+                    putArray("if").apply { txn.conditions.forEach { c -> addObject().put("key", c.key).put("stamp", c.stamp) } }
+                    putArray("then").apply { txn.ops.forEach { add(encode(it)) } }
+                },
+            )
+        enqueue(urgency, txn.ops.size, patienceS, { then(TxnResult.Refused) }) {
+            ctx.call(settings.state, "POST", "/multi", body, CALL_TIMEOUT_S) { outcome -> then(settle(outcome)) }
+        }
+    }
+
+    private fun encode(op: Op): JsonNode =
+        when (op) {
+            is Op.Put ->
+                Json.obj {
+                    put("set", op.key)
+                    set<JsonNode>("value", op.value)
+                    op.tether?.let { put("tether", it) }
+                }
+            is Op.Delete -> Json.obj { put("remove", op.key) }
+        }
+
+    private fun settle(outcome: Outcome): TxnResult {
+        note(outcome)
+        if (outcome is Outcome.NotSent) return TxnResult.Refused
+        val answer = outcome as? Outcome.Answered ?: return TxnResult.Unknown
+        val body = Json.parseOrNull(answer.body)
+        return when {
+            answer.status == 200 && body != null && body.path("ledgerRev").isNumber -> TxnResult.Done(body.path("ledgerRev").asLong())
+            answer.status == 409 && body != null -> TxnResult.Conflict(body.path("failed").map { it.asText() })
+            answer.status == 429 || answer.status == 503 -> TxnResult.Refused
+            answer.status == 400 && body?.path("error")?.asText() == "no such lease" -> TxnResult.NoLease
+            answer.status == 400 -> {
+                ctx.error("state service calls a transaction malformed: ${answer.body}")
+                TxnResult.Refused
+            }
+            else -> TxnResult.Unknown
+        }
+    }
+
+    /** Repeats [txn] until its outcome is known or [stillWanted] says no; each of our rows is written under a stamp that only one copy can match. */
+    fun ensure(txn: Txn, urgency: Urgency, stillWanted: () -> Boolean, then: (TxnResult) -> Unit) {
+        txn(txn, urgency, PATIENT_S) { result ->
+            when {
+                !stillWanted() -> Unit
+                result is TxnResult.Refused || result is TxnResult.Unknown -> ctx.later(RETRY_S) { if (stillWanted()) ensure(txn, urgency, stillWanted, then) }
+                else -> then(result)
+            }
+        }
+    }
+
+    fun createLease(ttlMs: Long, then: (Long?) -> Unit) {
+        enqueue(Urgency.LEADERSHIP, 0, READ_PATIENCE_S, { then(null) }) {
+            call("POST", "/leases", "{\"ttlMs\":$ttlMs}", CALL_TIMEOUT_S) { status, body ->
+                then(if (status == 200) body?.path("tether")?.takeIf { it.isNumber }?.asLong() else null)
+            }
+        }
+    }
+
+    /** Calls back with 200, 404 or null where nothing is known. */
+    fun renewLease(tether: Long, timeoutS: Double, then: (Int?) -> Unit) {
+        call("POST", "/leases/$tether/renew", "", timeoutS) { status, _ -> then(status.takeIf { it == 200 || it == 404 }) }
+    }
+
+    fun dropLease(tether: Long) {
+        call("DELETE", "/leases/$tether", null, CALL_TIMEOUT_S) { _, _ -> }
+    }
+
+    fun follow(prefix: String, from: Long, blockS: Double, then: (Int, JsonNode?) -> Unit) {
+        enqueue(Urgency.CLAIM, 0, READ_PATIENCE_S, { then(0, null) }) {
+            val path = "/follow?starts=$prefix&from=$from&blockMs=${(blockS * 1000).toLong()}"
+            call("GET", path, null, blockS + CALL_TIMEOUT_S, then)
+        }
+    }
+
+    private fun call(method: String, path: String, body: String?, timeoutS: Double, then: (Int, JsonNode?) -> Unit) {
+        ctx.call(settings.state, method, path, body, timeoutS) { outcome ->
+            note(outcome)
+            if (outcome is Outcome.Answered) then(outcome.status, Json.parseOrNull(outcome.body)) else then(0, null)
+        }
+    }
+
+    private fun note(outcome: Outcome) {
+        val status = (outcome as? Outcome.Answered)?.status
+        if (status == 429) {
+            writes.drain()
+            requests.drain()
+            pausedUntil = ctx.now + RETRY_S
+            ctx.info("state service answers 429")
+        }
+        if (status == null || status == 503) lastRefusedAt = ctx.now else lastServedAt = ctx.now
+    }
+
+    private fun enqueue(urgency: Urgency, writes: Int, patienceS: Double, drop: () -> Unit, send: () -> Unit) {
+        queues.getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop))
+        pump()
+    }
+
+    fun pump() {
+        val part = if (leads) LEADER_PART else (1 - LEADER_PART) / (settings.controllers - 1).coerceAtLeast(1)
+        writes.refill(ctx.now, settings.store.writeRps * part)
+        requests.refill(ctx.now, settings.store.rps * part)
+        for (queue in queues.values) {
+            while (queue.isNotEmpty() && ctx.now - queue.first().since > queue.first().patienceS) queue.removeFirst().drop()
+        }
+        if (ctx.now < pausedUntil) return
+        for (queue in queues.values) {
+            while (queue.isNotEmpty()) {
+                val next = queue.first()
+                if (next.cost > 0 && !writes.take(next.cost.toDouble())) return
+                if (!requests.take(1.0)) return
+                queue.removeFirst()
+                next.send()
+            }
+        }
+    }
+
+    private companion object {
+        const val PAGE = 500
+        const val CALL_TIMEOUT_S = 2.0
+        const val READ_PATIENCE_S = 1.0
+        const val WRITE_PATIENCE_S = 1.0
+        const val PATIENT_S = 1e9
+        const val RETRY_S = 0.25
+
+        /** The leader's part of the shared limits; the other members write submissions only. */
+        const val LEADER_PART = 0.6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -0,0 +1,51 @@
+package burlridge.worker
+
+import burlridge.app.Endpoint
+
+/** A task as a worker reports it. */
+internal data class Reported(val piece: String, val run: Int, val standing: String, val cause: String?, val kept: Boolean) {
+    val exited: Boolean get() = standing == "exited"
+}
+
+/** A machine as the leader knows it, from its worker's reports and from the cloud's list. */
+internal class Machine(val id: String) {
+    // From the cloud.
+    var type: String = ""
+    var zone: String = ""
+    var spot: Boolean = false
+    var listed: Boolean = false
+    var listedAgeS: Double = 0.0
+    var starting: Boolean = false
+    var rentedAt: Double = 0.0
+
+    // From the worker.
+    var address: Endpoint? = null
+    var session: Long = 0
+    var tally: Long = -1
+    var echoed: Long = 0
+    var reported: Map<String, Reported> = emptyMap()
+    var strays: Set<String> = emptySet()
+    var lastReportAt: Double = -1e9
+    var recallAt: Double? = null
+
+    /** When a report was last answered with 200 by us, or may have been by an earlier leader. */
+    var answeredAt: Double = 0.0
+
+    // Ours.
+    var token: Long = 0
+
+    /** The highest token under which a command of open outcome may still be on its way. */
+    var openToken: Long = 0
+    var commanding: Boolean = false
+    var nextCommandAt: Double = 0.0
+    var refusals: Int = 0
+    var notBefore: Double = 0.0
+    var idleSince: Double = 0.0
+    var failures: Int = 0
+    var leaving: Boolean = false
+    var returning: Boolean = false
+    var lapsed: Boolean = false
+    val images: LinkedHashSet<String> = LinkedHashSet()
+
+    val up: Boolean get() = session > 0
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -0,0 +1,391 @@
+package burlridge.worker
+
+import burlridge.app.Answer
+import burlridge.app.Context
+import burlridge.app.Endpoint
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.intent.Claim
+import burlridge.intent.Ledger
+import burlridge.intent.Phase
+import burlridge.leadership.Leadership
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ArrayNode
+
+/** Reports in, commands out; says when a claimed task is known to be gone from its machine. */
+internal class Workers(private val ctx: Context, private val leadership: Leadership, private val ledger: Ledger, private val onChange: () -> Unit) {
+    private val times = ctx.settings.workers
+    val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
+    private var tokens = 0L
+    var loaded: Boolean = false
+
+    /** Returned machines: their workers are gone, and a late report must not bring them back. */
+    private val returned = HashSet<String>()
+
+    fun clear() {
+        machines.clear()
+        returned.clear()
+        loaded = false
+        tokens = 0
+    }
+
+    private fun key(piece: String, run: Int): String = "$piece@$run"
+
+    /** A task that a worker runs without a claim of ours; it is halted, and until then blocks any other start of it. */
+    fun isReturned(id: String): Boolean = id in returned
+
+    fun strays(piece: String): Boolean = machines.values.any { !it.lapsed && piece in it.strays }
+
+    private fun nextToken(): Long = (leadership.term shl TERM_SHIFT) + ++tokens
+
+    fun machine(id: String): Machine =
+        machines.getOrPut(id) {
+            Machine(id).also {
+                it.token = leadership.term shl TERM_SHIFT
+                it.openToken = it.token - 1
+                it.answeredAt = maxOf(ctx.now, leadership.othersAnswerUntil)
+                it.idleSince = ctx.now
+            }
+        }
+
+    // --- reports
+
+    fun beat(body: String): Answer {
+        val report = Json.parseOrNull(body)
+        val id = report?.path("drover")?.takeIf { it.isTextual }?.asText()
+        if (report == null || id.isNullOrEmpty()) return Answer.error(400, "not a report")
+        if (id in returned) return Answer.unavailable("this machine has been returned")
+        val machine = machine(id)
+        val fresh = take(machine, report)
+        if (machine.echoed shr TERM_SHIFT > leadership.term) {
+            leadership.stepDown("worker $id has seen a higher token")
+            return Answer.unavailable("not the leader")
+        }
+        // A report overtaken by a command's answer still renews the worker's lease when it is answered.
+        machine.answeredAt = ctx.now
+        val orders = Json.arr()
+        if (fresh && loaded) {
+            reconcile(machine)
+            halts(machine, orders)
+            reaps(machine, orders)
+            onChange()
+        }
+        val answer =
+            Json.obj {
+                put("baton", machine.token)
+                set<JsonNode>("orders", orders)
+            }
+        return Answer(200, Json.write(answer))
+    }
+
+    /** Takes over what a report says; false when it is older than what is known. */
+    private fun take(machine: Machine, report: JsonNode): Boolean {
+        val session = report.path("stint").asLong()
+        val tally = report.path("tally").asLong()
+        if (session < machine.session || (session == machine.session && tally <= machine.tally)) return false
+        if (session != machine.session && machine.up && loaded) loseAll(machine, "its worker began session $session", session)
+        machine.session = session
+        machine.tally = tally
+        machine.lapsed = false
+        machine.echoed = maxOf(machine.echoed, report.path("baton").asLong())
+        machine.lastReportAt = ctx.now
+        machine.type = report.path("breed").asText(machine.type)
+        machine.zone = report.path("yard").asText(machine.zone)
+        machine.spot = report.path("loaners").asBoolean(machine.spot)
+        machine.starting = false
+        report.path("addr").asText("").let { text ->
+            text.substringAfterLast(':', "").toIntOrNull()?.let { machine.address = Endpoint(text.substringBeforeLast(':'), it) }
+        }
+        val recall = report.path("recallS")
+        if (recall.isNumber) {
+            if (machine.recallAt == null) ctx.info("machine ${machine.id}: the cloud takes it back in ${recall.asDouble()} s")
+            machine.recallAt = ctx.now + recall.asDouble()
+        } else {
+            machine.recallAt = null
+        }
+        machine.reported =
+            report.path("pieces").associate { p ->
+                val piece = p.path("piece").asText()
+                val run = p.path("try").asInt()
+                key(piece, run) to
+                    Reported(
+                        piece,
+                        run,
+                        p.path("standing").asText(),
+                        p.path("cause").takeIf { it.isTextual }?.asText(),
+                        p.path("kept").asBoolean(),
+                    )
+            }
+        return true
+    }
+
+    fun reconcile(machine: Machine) {
+        val claims = ledger.byMachine[machine.id]?.values?.toList().orEmpty()
+        for (claim in claims) {
+            if (claim.session < machine.session) {
+                lose(claim, "its worker's session is over")
+                continue
+            }
+            val report = machine.reported[key(claim.piece, claim.run)]
+            when {
+                report == null -> if (knownAbsent(machine, claim)) lose(claim, "its worker does not have it")
+                report.exited -> exited(machine, claim, report)
+                else -> seen(machine, claim, report)
+            }
+        }
+        machine.strays =
+            machine.reported.values
+                .filter { !it.exited && ledger.byMachine[machine.id]?.get(it.piece)?.run != it.run }
+                .mapTo(HashSet()) { it.piece }
+        if (machine.idleSince > 0 && !ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
+        if (machine.idleSince == 0.0 && ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
+    }
+
+    /**
+     * A report without the task proves something only if no start of it can still arrive: none is in flight, and the worker
+     * has seen a token above every one under which a start's outcome is open.
+     */
+    private fun knownAbsent(machine: Machine, claim: Claim): Boolean =
+        when (claim.phase) {
+            Phase.CLAIMING, Phase.CLAIMED, Phase.ENDED -> false
+            else -> !machine.commanding && machine.echoed > machine.openToken
+        }
+
+    private fun seen(machine: Machine, claim: Claim, report: Reported) {
+        val before = claim.phase
+        claim.phase =
+            when (report.standing) {
+                "running" -> Phase.RUNNING
+                "saving" -> Phase.SAVING
+                else -> Phase.FETCHING
+            }
+        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING) {
+            claim.startedAt = ctx.now
+            ledger.jobs[claim.job]?.let { remember(machine, it.spec.image) }
+        }
+    }
+
+    private fun remember(machine: Machine, image: String) {
+        machine.images.remove(image)
+        machine.images.add(image)
+        if (machine.images.size > IMAGES_REMEMBERED) machine.images.remove(machine.images.first())
+    }
+
+    private fun exited(machine: Machine, claim: Claim, report: Reported) {
+        val job = ledger.jobs[claim.job]
+        ledger.release(claim, lost = report.cause != "done")
+        if (job == null) return
+        when (report.cause) {
+            "done" -> {
+                machine.failures = 0
+                remember(machine, job.spec.image)
+                ledger.markDone(job, claim.task)
+            }
+            "stopped" -> ctx.info("task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
+            "error" -> {
+                job.failures++
+                machine.failures++
+                ctx.info("task ${claim.piece} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there")
+                job.notBefore.put(claim.task, ctx.now + minOf(times.reportS * job.failures, times.leaseS))
+                if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
+                    machine.notBefore = ctx.now + times.leaseS
+                }
+            }
+            else -> {
+                ctx.info("start of ${claim.piece} refused by ${machine.id}: ${report.cause}")
+                job.notBefore.put(claim.task, ctx.now + times.reportS / 3)
+                if (report.cause == "full") machine.notBefore = ctx.now + times.reportS / 3
+            }
+        }
+    }
+
+    private fun lose(claim: Claim, reason: String) {
+        ctx.info("task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
+        ledger.release(claim, lost = true)
+        onChange()
+    }
+
+    private fun loseAll(machine: Machine, reason: String, below: Long = Long.MAX_VALUE) {
+        ledger.byMachine[machine.id]?.values?.toList().orEmpty().filter { it.session < below }.forEach { lose(it, reason) }
+    }
+
+    // --- commands
+
+    private fun order(verb: String, piece: String, run: Int, graceS: Double? = null): JsonNode =
+        Json.obj {
+            put("verb", verb)
+            put("piece", piece)
+            put("try", run)
+            graceS?.let { put("windDownS", it) }
+        }
+
+    /** Every task that has no business on [machine] any more is halted, and again until it is gone. */
+    private fun halts(machine: Machine, orders: ArrayNode) {
+        for (report in machine.reported.values) {
+            if (report.exited) continue
+            val claim = ledger.byMachine[machine.id]?.get(report.piece)?.takeIf { it.run == report.run }
+            val job = report.piece.substringBefore('/')
+            when {
+                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == burlridge.intent.Standing.WITHDRAWN ->
+                    orders.add(order("halt", report.piece, report.run, 0.0))
+                claim.stopGraceS != null && report.standing != "saving" -> orders.add(order("halt", report.piece, report.run, claim.stopGraceS))
+            }
+        }
+    }
+
+    /** An exited task is forgotten once its end is durable, and only while no start of it can still be on its way. */
+    private fun reaps(machine: Machine, orders: ArrayNode) {
+        if (machine.commanding || machine.echoed <= machine.openToken) return
+        for (report in machine.reported.values) {
+            if (!report.exited) continue
+            val name = report.piece.substringBefore('/')
+            val task = report.piece.substringAfter('/').toIntOrNull() ?: continue
+            val job = ledger.jobs[name]
+            if (job != null && report.cause == "done" && !job.durable.get(task)) {
+                ledger.markDone(job, task)
+                continue
+            }
+            val claim = ledger.byMachine[machine.id]?.get(report.piece)
+            if (claim == null || claim.run != report.run) orders.add(order("reap", report.piece, report.run))
+        }
+    }
+
+    /** Sends what is due to [machine] straight away. */
+    fun command(machine: Machine) {
+        val address = machine.address ?: return
+        if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
+        if (!leadership.standing) return
+        val orders = Json.arr()
+        val starts = ledger.byMachine[machine.id]?.values?.filter { it.phase == Phase.CLAIMED && it.session == machine.session }.orEmpty()
+        val stops = ledger.byMachine[machine.id]?.values?.filter { wantsStop(it) }.orEmpty()
+        val fencing = machine.echoed <= machine.openToken && ledger.byMachine[machine.id]?.values?.any { it.phase == Phase.SENT } == true
+        if (starts.isEmpty() && stops.isEmpty() && !fencing) return
+        stops.forEach {
+            it.stopSentAt = ctx.now
+            orders.add(order("halt", it.piece, it.run, it.stopGraceS ?: 0.0))
+        }
+        starts.take(MOST_ORDERS).forEach {
+            it.phase = Phase.SENT
+            orders.add(order("run", it.piece, it.run))
+        }
+        send(machine, address, orders, starts.take(MOST_ORDERS))
+    }
+
+    private fun wantsStop(claim: Claim): Boolean {
+        if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
+        if (claim.phase == Phase.SAVING && ledger.jobs[claim.job] != null) return false
+        return claim.stopGraceS != null || ledger.jobs[claim.job] == null
+    }
+
+    private fun send(machine: Machine, address: Endpoint, orders: ArrayNode, starts: List<Claim>) {
+        machine.commanding = true
+        val token = machine.token
+        val session = machine.session
+        val body =
+            Json.obj {
+                put("baton", token)
+                put("stint", session)
+                set<JsonNode>("orders", orders)
+            }
+        val term = leadership.term
+        ctx.call(address, "POST", "/do", Json.write(body), times.reportS) { outcome ->
+            if (!leadership.leading || leadership.term != term || machines[machine.id] !== machine) return@call
+            machine.commanding = false
+            val answer = outcome as? Outcome.Answered
+            val report = answer?.let { Json.parseOrNull(it.body) }
+            when {
+                answer != null && report != null && (answer.status == 200 || answer.status == 409) -> {
+                    machine.refusals = 0
+                    // On 409 nothing was executed: what was to start has still to be sent.
+                    if (answer.status == 409) unsend(starts)
+                    if (take(machine, report) && loaded) reconcile(machine)
+                    if (machine.echoed shr TERM_SHIFT > leadership.term) {
+                        leadership.stepDown("worker ${machine.id} has seen a higher token")
+                        return@call
+                    }
+                    if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
+                    onChange()
+                }
+                outcome is Outcome.NotSent || answer?.status == 400 -> {
+                    unsend(starts)
+                    retryLater(machine)
+                }
+                else -> {
+                    // Possibly executed, or held back to be executed later: only a higher token seen by the worker settles it.
+                    ctx.info("command to ${machine.id} has an unknown outcome; fencing it")
+                    machine.openToken = maxOf(machine.openToken, token)
+                    machine.token = nextToken()
+                    retryLater(machine)
+                }
+            }
+        }
+    }
+
+    private fun retryLater(machine: Machine) {
+        machine.refusals++
+        machine.nextCommandAt = ctx.now + RETRY_S * minOf(machine.refusals, 8)
+    }
+
+    private fun unsend(starts: List<Claim>) {
+        starts.forEach { if (it.phase == Phase.SENT) it.phase = Phase.CLAIMED }
+    }
+
+    // --- losses
+
+    fun tick() {
+        for (machine in machines.values.toList()) {
+            if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
+            if (loaded && silent(machine)) withdrawUnsent(machine)
+            if (machine.recallAt != null) drain(machine)
+            command(machine)
+        }
+    }
+
+    /** A claim that never left and whose machine has gone quiet is taken back and placed elsewhere. */
+    private fun withdrawUnsent(machine: Machine) {
+        ledger.byMachine[machine.id]?.values?.filter { it.phase == Phase.CLAIMED }?.toList()?.forEach { lose(it, "never sent, and its machine is silent") }
+    }
+
+    /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
+    private fun drain(machine: Machine) {
+        for (claim in ledger.byMachine[machine.id]?.values.orEmpty()) {
+            val spec = ledger.jobs[claim.job]?.spec ?: continue
+            if (claim.phase == Phase.RUNNING && spec.checkpointS > 0 && claim.stopGraceS == null) {
+                claim.stopGraceS = spec.saveS * 2
+                ctx.info("task ${claim.piece} is stopped on ${machine.id}: the cloud takes the machine back")
+            }
+        }
+    }
+
+    fun silent(machine: Machine): Boolean = ctx.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
+
+    private fun lapsesAt(machine: Machine): Double {
+        val fenced = machine.echoed shr TERM_SHIFT == leadership.term
+        val answered = if (fenced) machine.answeredAt else maxOf(machine.answeredAt, leadership.othersAnswerUntil)
+        return answered + times.leaseS * (1 + Leadership.DRIFT) + times.reportS / 4
+    }
+
+    private fun lapse(machine: Machine) {
+        if (!loaded) return
+        machine.lapsed = true
+        loseAll(machine, "its worker's lease has lapsed")
+    }
+
+    /** The cloud says that the machine is gone, with everything on it. */
+    fun gone(machine: Machine, reason: String) {
+        ctx.info("machine ${machine.id} is gone: $reason")
+        returned += machine.id
+        machines.remove(machine.id)
+        loseAll(machine, reason)
+        ledger.byMachine.remove(machine.id)
+    }
+
+    internal companion object {
+        const val TERM_SHIFT = 20
+        private const val MOST_ORDERS = 100
+        private const val RETRY_S = 0.5
+        private const val SILENT_REPORTS = 2.5
+        private const val FAILURES_TO_QUARANTINE = 2
+        private const val IMAGES_REMEMBERED = 6
+    }
+}
