--- a/src/main/kotlin/burlridge/app/Context.kt
+++ b/src/main/kotlin/burlridge/app/Context.kt
@@ -5,7 +5,10 @@
 import kotlin.random.Random
 
 /** What every slice shares inside one step: the time given, the effects so far and the calls that wait for an outcome. */
-internal class Context(val settings: Settings, seed: Long) {
+internal class Context(
+    val settings: Settings,
+    seed: Long,
+) {
     var now: Double = 0.0
         private set
 
@@ -19,18 +22,32 @@
     private var debts = java.util.PriorityQueue<Debt>()
     private var nextDebt = 0L
 
-    private class Debt(val at: Double, val order: Long, val work: () -> Unit) : Comparable<Debt> {
+    private class Debt(
+        val at: Double,
+        val order: Long,
+        val work: () -> Unit,
+    ) : Comparable<Debt> {
         override fun compareTo(other: Debt): Int = compareValuesBy(this, other, Debt::at, Debt::order)
     }
 
-    fun begin(now: Double, wallMs: Long) {
+    fun begin(
+        now: Double,
+        wallMs: Long,
+    ) {
         this.wallMs = wallMs
         this.now = maxOf(now, this.now)
     }
 
     fun finish(): List<Effect> = effects.also { effects = ArrayList() }
 
-    fun call(target: Endpoint, method: String, path: String, body: String?, timeoutS: Double, then: (Outcome) -> Unit) {
+    fun call(
+        target: Endpoint,
+        method: String,
+        path: String,
+        body: String?,
+        timeoutS: Double,
+        then: (Outcome) -> Unit,
+    ) {
         val id = nextCall++
         waiting.put(id, then)
         effects += Effect.Call(id, target, method, path, body, timeoutS)
@@ -40,16 +57,25 @@
         waiting.remove(done.call)?.invoke(done.outcome)
     }
 
-    fun answer(id: Long, answer: Answer) {
+    fun answer(
+        id: Long,
+        answer: Answer,
+    ) {
         effects += Effect.Answer(id, answer.status, answer.body, answer.retryAfterS)
     }
 
-    fun send(member: String, message: PeerMessage) {
+    fun send(
+        member: String,
+        message: PeerMessage,
+    ) {
         effects += Effect.Send(member, message)
     }
 
     /** Runs [work] at the first step that comes [delayS] from now or later. */
-    fun later(delayS: Double, work: () -> Unit) {
+    fun later(
+        delayS: Double,
+        work: () -> Unit,
+    ) {
         debts.add(Debt(now + delayS, nextDebt++, work))
     }
 
@@ -75,11 +101,20 @@
 }
 
 /** An answer to a request, from a user, a worker or a peer that passes one on. */
-internal data class Answer(val status: Int, val body: String, val retryAfterS: Int? = null) {
+internal data class Answer(
+    val status: Int,
+    val body: String,
+    val retryAfterS: Int? = null,
+) {
     internal companion object {
-        fun error(status: Int, reason: String): Answer = Answer(status, Json.write(Json.obj { put("error", reason) }))
-
-        fun unavailable(reason: String, retryAfterS: Int = 1): Answer =
-            Answer(503, Json.write(Json.obj { put("error", reason) }), retryAfterS)
+        fun error(
+            status: Int,
+            reason: String,
+        ): Answer = Answer(status, Json.write(Json.obj { put("error", reason) }))
+
+        fun unavailable(
+            reason: String,
+            retryAfterS: Int = 1,
+        ): Answer = Answer(503, Json.write(Json.obj { put("error", reason) }), retryAfterS)
     }
 }
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -13,7 +13,10 @@
 import burlridge.worker.Workers
 
 /** The state machine of one controller: an input and the time go in, what to send, write and answer comes out. */
-internal class Controller(private val settings: Settings, seed: Long) : Leadership.Events {
+internal class Controller(
+    private val settings: Settings,
+    seed: Long,
+) : Leadership.Events {
     private val ctx = Context(settings, seed)
     private val store = Store(ctx)
     private val leadership = Leadership(ctx, store, this)
@@ -23,12 +26,17 @@
     private val placement = Placement(ctx, ledger, workers, fleet)
     private val peers = Peers(ctx)
     private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
+    val leads: Boolean get() = leadership.standing && intake.loaded
     private var announceAt = 0.0
     private var followAt = 0L
     private var placing = false
     private var placedAt = 0.0
 
-    fun step(input: Input, now: Double, wallMs: Long): List<Effect> {
+    fun step(
+        input: Input,
+        now: Double,
+        wallMs: Long,
+    ): List<Effect> {
         ctx.begin(now, wallMs)
         when (input) {
             Input.Tick -> tick()
@@ -70,19 +78,37 @@
 
     // --- requests
 
-    private fun request(method: String, path: String, body: String, then: (Answer) -> Unit) {
+    private fun request(
+        method: String,
+        path: String,
+        body: String,
+        then: (Answer) -> Unit,
+    ) {
         val parts = path.trim('/').split('/')
         when {
             path == "/ready" -> only(method, "GET", then) { then(if (ready) Answer(200, "{}") else Answer.unavailable("starting")) }
+
             path == "/agent/beat" -> only(method, "POST", then) { then(beat(body)) }
+
             path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, then) }
+
             parts.size == 3 && path.startsWith("/api/jobs/") -> only(method, "GET", then) { intake.query(parts[2], then) }
-            parts.size == 4 && path.startsWith("/api/jobs/") && parts[3] == "abort" -> only(method, "POST", then) { intake.abort(parts[2], then) }
+
+            parts.size == 4 &&
+                path.startsWith(
+                    "/api/jobs/",
+                ) && parts[3] == "abort" -> only(method, "POST", then) { intake.abort(parts[2], then) }
+
             else -> then(Answer.error(404, "no such path"))
         }
     }
 
-    private fun only(method: String, allowed: String, then: (Answer) -> Unit, work: () -> Unit) {
+    private fun only(
+        method: String,
+        allowed: String,
+        then: (Answer) -> Unit,
+        work: () -> Unit,
+    ) {
         if (method == allowed) work() else then(Answer.error(405, "use $allowed"))
     }
 
@@ -101,17 +127,26 @@
     private fun fromPeer(message: PeerMessage) {
         peers.heard(message.from)
         when (message) {
-            is PeerMessage.Status -> leadership.heard(message)
-            is PeerMessage.Reply -> peers.replied(message)
-            is PeerMessage.Accepted ->
+            is PeerMessage.Status -> {
+                leadership.heard(message)
+            }
+
+            is PeerMessage.Reply -> {
+                peers.replied(message)
+            }
+
+            is PeerMessage.Accepted -> {
                 if (leadership.leading && intake.loaded && !ledger.jobs.containsKey(message.job)) admit(message.job)
-            is PeerMessage.Ask ->
+            }
+
+            is PeerMessage.Ask -> {
                 // Passed on once only: a member that does not lead says so.
                 if (leadership.leading) {
                     request(message.method, message.path, message.body) { reply(message, it) }
                 } else {
                     reply(message, Answer.unavailable("not the leader"))
                 }
+            }
         }
     }
 
@@ -126,7 +161,10 @@
         }
     }
 
-    private fun reply(to: PeerMessage.Ask, answer: Answer) {
+    private fun reply(
+        to: PeerMessage.Ask,
+        answer: Answer,
+    ) {
         ctx.send(to.from, PeerMessage.Reply(settings.member, to.ask, answer.status, answer.body, answer.retryAfterS ?: 0))
     }
 
@@ -167,12 +205,17 @@
         }
     }
 
-    private fun loadedAll(revision: Long, term: Long) {
+    private fun loadedAll(
+        revision: Long,
+        term: Long,
+    ) {
         ledger.settleLoaded()
         workers.loaded = true
         intake.loaded = true
         // A machine known only from claims must be waited for like any other.
-        ledger.byMachine.keys.toList().forEach { workers.machine(it) }
+        ledger.byMachine.keys
+            .toList()
+            .forEach { workers.machine(it) }
         followAt = revision
         ctx.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.byMachine.size} machines with claims")
         follow(term)
@@ -193,7 +236,10 @@
                         followAt = maxOf(followAt, body.path("ledgerRev").asLong())
                         if (body.path("events").size() > 0) placeSoon()
                     }
-                    status == 410 -> relist(term)
+
+                    status == 410 -> {
+                        relist(term)
+                    }
                 }
                 ctx.later(FOLLOW_PAUSE_S) { follow(term) }
             }
--- a/src/main/kotlin/burlridge/app/Http.kt
+++ b/src/main/kotlin/burlridge/app/Http.kt
@@ -25,11 +25,15 @@
 import kotlinx.io.readByteArray
 
 /** Reads the body that [headers] announce; null when it is longer than [most] bytes. */
-private suspend fun readBody(headers: HttpHeadersMap, input: ByteReadChannel, most: Int): String? {
+private suspend fun readBody(
+    headers: HttpHeadersMap,
+    input: ByteReadChannel,
+    most: Int,
+): String? {
     val length = headers["Content-Length"]?.toString()?.trim()?.toLongOrNull()
     val encoding = headers["Transfer-Encoding"]
     return when {
-        encoding != null && encoding.contains("chunked", ignoreCase = true) ->
+        encoding != null && encoding.contains("chunked", ignoreCase = true) -> {
             coroutineScope {
                 val decoded = ByteChannel()
                 val decoder =
@@ -41,14 +45,27 @@
                 if (bytes.size > most) decoder.cancel()
                 bytes.takeIf { it.size <= most }?.decodeToString()
             }
-        length == null || length == 0L -> ""
-        length > most -> null
-        else -> input.readByteArray(length.toInt()).decodeToString()
+        }
+
+        length == null || length == 0L -> {
+            ""
+        }
+
+        length > most -> {
+            null
+        }
+
+        else -> {
+            input.readByteArray(length.toInt()).decodeToString()
+        }
     }
 }
 
 /** Serves users, workers and health checks; every request becomes an input and waits for the core's answer. */
-internal class HttpServer(private val selector: SelectorManager, private val handle: (Input.Request, CompletableDeferred<Answer>) -> Unit) {
+internal class HttpServer(
+    private val selector: SelectorManager,
+    private val handle: (Input.Request, CompletableDeferred<Answer>) -> Unit,
+) {
     private var nextId = 1L
     private val waiting = HashMap<Long, CompletableDeferred<Answer>>()
 
@@ -56,7 +73,10 @@
         waiting.remove(effect.id)?.complete(Answer(effect.status, effect.body, effect.retryAfterS))
     }
 
-    suspend fun serve(at: Endpoint, scope: CoroutineScope) {
+    suspend fun serve(
+        at: Endpoint,
+        scope: CoroutineScope,
+    ) {
         val server = aSocket(selector).tcp().bind(InetSocketAddress(at.host, at.port)) { reuseAddress = true }
         while (true) {
             val socket = server.accept()
@@ -101,11 +121,19 @@
         }
     }
 
-    private suspend fun write(output: ByteWriteChannel, answer: Answer, close: Boolean) {
+    private suspend fun write(
+        output: ByteWriteChannel,
+        answer: Answer,
+        close: Boolean,
+    ) {
         val body = answer.body.encodeToByteArray()
         val head =
             buildString {
-                append("HTTP/1.1 ").append(answer.status).append(' ').append(REASONS[answer.status] ?: "Status").append("\r\n")
+                append("HTTP/1.1 ")
+                    .append(answer.status)
+                    .append(' ')
+                    .append(REASONS[answer.status] ?: "Status")
+                    .append("\r\n")
                 append("Content-Type: application/json\r\nContent-Length: ").append(body.size).append("\r\n")
                 answer.retryAfterS?.let { append("Retry-After: ").append(it).append("\r\n") }
                 if (close) append("Connection: close\r\n")
@@ -135,14 +163,21 @@
 }
 
 /** Calls outside systems over kept connections, one request at a time on each. */
-internal class HttpClient(private val selector: SelectorManager) {
-    private class Link(val socket: Socket, val input: ByteReadChannel, val output: ByteWriteChannel)
+internal class HttpClient(
+    private val selector: SelectorManager,
+) {
+    private class Link(
+        val socket: Socket,
+        val input: ByteReadChannel,
+        val output: ByteWriteChannel,
+    )
 
     private val idle = HashMap<Endpoint, ArrayDeque<Link>>()
 
     suspend fun call(effect: Effect.Call): Outcome {
         val timeoutMs = (effect.timeoutS * 1000).toLong()
-        val link = kept(effect.target) ?: withTimeoutOrNull(minOf(timeoutMs, CONNECT_MS)) { connect(effect.target) } ?: return Outcome.NotSent
+        val link =
+            kept(effect.target) ?: withTimeoutOrNull(minOf(timeoutMs, CONNECT_MS)) { connect(effect.target) } ?: return Outcome.NotSent
         val outcome =
             try {
                 withTimeoutOrNull(timeoutMs) { exchange(link, effect) }
@@ -175,11 +210,19 @@
             null
         }
 
-    private suspend fun exchange(link: Link, effect: Effect.Call): Outcome? {
+    private suspend fun exchange(
+        link: Link,
+        effect: Effect.Call,
+    ): Outcome? {
         val body = effect.body?.encodeToByteArray()
         val head =
             buildString {
-                append(effect.method).append(' ').append(effect.path).append(" HTTP/1.1\r\nHost: ").append(effect.target).append("\r\n")
+                append(effect.method)
+                    .append(' ')
+                    .append(effect.path)
+                    .append(" HTTP/1.1\r\nHost: ")
+                    .append(effect.target)
+                    .append("\r\n")
                 if (body != null) append("Content-Type: application/json\r\nContent-Length: ").append(body.size).append("\r\n")
                 append("\r\n")
             }.encodeToByteArray()
@@ -199,7 +242,10 @@
         }
     }
 
-    private fun keep(target: Endpoint, link: Link) {
+    private fun keep(
+        target: Endpoint,
+        link: Link,
+    ) {
         val links = idle.getOrPut(target) { ArrayDeque() }
         links.addLast(link)
         if (links.size > MOST_IDLE) links.removeFirst().socket.close()
--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -1,7 +1,7 @@
 package burlridge.app
 
-import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.CoreCliktCommand
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
 import com.github.ajalt.clikt.parameters.options.option
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -11,7 +11,9 @@
 import java.util.concurrent.Executors
 
 /** The thin shell: one thread steps the core and carries out its effects, another waits for sockets. */
-internal class Service(settings: Settings) {
+internal class Service(
+    settings: Settings,
+) {
     private val log = LoggerFactory.getLogger("burlridge")
     private val controller = Controller(settings, System.nanoTime())
     private val selector = SelectorManager(Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher())
@@ -39,15 +41,25 @@
 
     private fun carryOut(effect: Effect) {
         when (effect) {
-            is Effect.Answer -> server.answer(effect)
-            is Effect.Call -> scope.launch { step(Input.CallDone(effect.call, client.call(effect))) }
-            is Effect.Send -> peers.send(effect.member, effect.message)
-            is Effect.Log ->
+            is Effect.Answer -> {
+                server.answer(effect)
+            }
+
+            is Effect.Call -> {
+                scope.launch { step(Input.CallDone(effect.call, client.call(effect))) }
+            }
+
+            is Effect.Send -> {
+                peers.send(effect.member, effect.message)
+            }
+
+            is Effect.Log -> {
                 when (effect.level) {
                     Level.ERROR -> log.error(effect.text)
                     Level.INFO -> log.info(effect.text)
                     Level.DEBUG -> log.debug(effect.text)
                 }
+            }
         }
     }
 
--- a/src/main/kotlin/burlridge/app/Settings.kt
+++ b/src/main/kotlin/burlridge/app/Settings.kt
@@ -4,23 +4,55 @@
 import com.fasterxml.jackson.databind.JsonNode
 
 /** A settings file that cannot be used; the message is one line meant for the operator. */
-internal class SettingsError(message: String) : Exception(message)
+internal class SettingsError(
+    message: String,
+) : Exception(message)
 
-internal data class Endpoint(val host: String, val port: Int) {
+internal data class Endpoint(
+    val host: String,
+    val port: Int,
+) {
     override fun toString(): String = "$host:$port"
 }
 
-internal data class PeerMember(val member: String, val zone: String, val endpoint: Endpoint)
-
-internal data class Team(val name: String, val cpus: Double, val cpusMax: Double, val gpus: Double, val gpusMax: Double)
-
-internal data class Objective(val kind: String, val lane: String?, val withinS: Double?, val share: Double?)
-
-internal data class WorkerTimes(val reportS: Double, val leaseS: Double, val cancelS: Double)
-
-internal data class StoreLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
-
-internal data class CloudLimits(val rps: Double, val listLagS: Double)
+internal data class PeerMember(
+    val member: String,
+    val zone: String,
+    val endpoint: Endpoint,
+)
+
+internal data class Team(
+    val name: String,
+    val cpus: Double,
+    val cpusMax: Double,
+    val gpus: Double,
+    val gpusMax: Double,
+)
+
+internal data class Objective(
+    val kind: String,
+    val lane: String?,
+    val withinS: Double?,
+    val share: Double?,
+)
+
+internal data class WorkerTimes(
+    val reportS: Double,
+    val leaseS: Double,
+    val cancelS: Double,
+)
+
+internal data class StoreLimits(
+    val rps: Double,
+    val writeRps: Double,
+    val valueBytes: Int,
+    val txnOps: Int,
+)
+
+internal data class CloudLimits(
+    val rps: Double,
+    val listLagS: Double,
+)
 
 /** What the platform hands a controller at its start. */
 internal data class Settings(
@@ -105,12 +137,21 @@
     }
 }
 
-private fun JsonNode.need(name: String, at: String): JsonNode = get(name)?.takeIf { !it.isNull } ?: throw SettingsError("$at$name is missing")
+private fun JsonNode.need(
+    name: String,
+    at: String,
+): JsonNode = get(name)?.takeIf { !it.isNull } ?: throw SettingsError("$at$name is missing")
 
-private fun JsonNode.text(name: String, at: String): String =
+private fun JsonNode.text(
+    name: String,
+    at: String,
+): String =
     need(name, at).takeIf { it.isTextual && it.asText().isNotEmpty() }?.asText() ?: throw SettingsError("$at$name must be a non-empty text")
 
-private fun JsonNode.positive(name: String, at: String): Double =
+private fun JsonNode.positive(
+    name: String,
+    at: String,
+): Double =
     need(name, at).takeIf { it.isNumber && it.asDouble().isFinite() && it.asDouble() > 0 }?.asDouble()
         ?: throw SettingsError("$at$name must be a number above 0")
 
@@ -121,7 +162,10 @@
     return node.toList()
 }
 
-private fun JsonNode.endpoint(name: String, at: String): Endpoint {
+private fun JsonNode.endpoint(
+    name: String,
+    at: String,
+): Endpoint {
     val text = text(name, at)
     val port = text.substringAfterLast(':', "").toIntOrNull()
     val host = text.substringBeforeLast(':')
--- a/src/main/kotlin/burlridge/fleet/Catalog.kt
+++ b/src/main/kotlin/burlridge/fleet/Catalog.kt
@@ -16,9 +16,14 @@
 )
 
 /** The machine types that the cloud rents out. */
-internal class Catalog(val types: Map<String, MachineType>) {
+internal class Catalog(
+    val types: Map<String, MachineType>,
+) {
     fun allowed(spec: JobSpec): List<MachineType> =
-        types.values.filter { (spec.types == null || it.name in spec.types) && spec.size.fits(it.size) && (spec.zone == null || spec.zone in it.zones) }
+        types.values.filter {
+            (spec.types == null || it.name in spec.types) && spec.size.fits(it.size) &&
+                (spec.zone == null || spec.zone in it.zones)
+        }
 
     internal companion object {
         /** Null for anything that is not a catalog. */
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -5,7 +5,10 @@
 import burlridge.intent.Ledger
 
 /** How many tasks want room now, and how many more should find room at once. */
-internal class Demand(private val ctx: Context, private val ledger: Ledger) {
+internal class Demand(
+    private val ctx: Context,
+    private val ledger: Ledger,
+) {
     private val waits = ctx.settings.objectives.filter { it.kind == "wait" && it.lane != null && it.withinS != null }
     private val recent = HashMap<String, ArrayDeque<JobSpec>>()
     private val seen = HashSet<String>()
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -21,9 +21,17 @@
 import com.fasterxml.jackson.databind.JsonNode
 
 /** One step of the fleet plan: so many machines of a type, zone and kind. */
-internal data class Offer(val type: String, val zone: String, val spot: Boolean)
-
-internal class Rental(val step: String, val offer: Offer, val count: Int) {
+internal data class Offer(
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+)
+
+internal class Rental(
+    val step: String,
+    val offer: Offer,
+    val count: Int,
+) {
     var stamp: Long = 0
     var calledAt: Double = 0.0
 
@@ -84,7 +92,16 @@
                     catalog = parsed
                     keepCatalog(body)
                 }
-                catalog == null -> store.get("catalog", Urgency.USER) { read -> if (read is Read.Found && catalog == null) catalog = Catalog.parse(read.value.value) }
+
+                catalog == null -> {
+                    store.get("catalog", Urgency.USER) { read ->
+                        if (read is Read.Found &&
+                            catalog == null
+                        ) {
+                            catalog = Catalog.parse(read.value.value)
+                        }
+                    }
+                }
             }
         }
     }
@@ -93,7 +110,12 @@
     private fun keepCatalog(body: JsonNode) {
         if (!leadership.leading || catalogKept) return
         catalogKept = true
-        store.txn(Txn(listOf(ledger.fence()), listOf(Op.Put("catalog", body))), Urgency.CLEANUP) { if (it !is TxnResult.Done) catalogKept = false }
+        store.txn(Txn(listOf(ledger.fence()), listOf(Op.Put("catalog", body))), Urgency.CLEANUP) {
+            if (it !is TxnResult.Done) {
+                catalogKept =
+                    false
+            }
+        }
     }
 
     // --- the cloud's list
@@ -111,7 +133,11 @@
         }
     }
 
-    private fun list(from: String, found: ArrayList<JsonNode>, term: Long) {
+    private fun list(
+        from: String,
+        found: ArrayList<JsonNode>,
+        term: Long,
+    ) {
         val after = if (from.isEmpty()) "" else "from=$from&"
         ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=500", null, CLOUD_TIMEOUT_S) { outcome ->
             val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
@@ -155,7 +181,11 @@
         }
         // A list may be older than the one before, so only a machine older than any list can be is missed from it.
         for (machine in workers.machines.values.toList()) {
-            if (machine.listed && machine.id !in names && machine.listedAgeS > lag * OLDEST_LIST) workers.gone(machine, "the cloud no longer lists it")
+            if (machine.listed && machine.id !in names &&
+                machine.listedAgeS > lag * OLDEST_LIST
+            ) {
+                workers.gone(machine, "the cloud no longer lists it")
+            }
         }
     }
 
@@ -163,7 +193,12 @@
 
     fun load(row: Row) {
         val v = row.value
-        val rental = Rental(row.key.substringAfter('/'), Offer(v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean()), v.path("n").asInt())
+        val rental =
+            Rental(
+                row.key.substringAfter('/'),
+                Offer(v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean()),
+                v.path("n").asInt(),
+            )
         rental.stamp = row.stamp
         // Called or not, by a leader that is gone: unknown, until the list must show what came of it.
         rental.calledAt = ctx.now
@@ -188,7 +223,11 @@
         }
     }
 
-    private fun rent(offer: Offer, count: Int, reason: String) {
+    private fun rent(
+        offer: Offer,
+        count: Int,
+        reason: String,
+    ) {
         val rental = Rental("${leadership.term}-${nextStep++}", offer, count.coerceAtMost(MOST_PER_CALL))
         rentals[rental.step] = rental
         ctx.info("rental ${rental.step}: ${rental.count} of ${offer.type} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $reason")
@@ -209,18 +248,28 @@
                     rental.stamp = result.revision
                     order(rental, term)
                 }
-                result is TxnResult.Conflict && Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
+
+                result is TxnResult.Conflict && Leadership.TERM in result.failed -> {
+                    leadership.stepDown("its term has been passed")
+                }
+
                 // An earlier copy of this very claim was applied.
                 result is TxnResult.Conflict -> {
                     rental.stamp = 1
                     order(rental, term)
                 }
-                else -> rentals.remove(rental.step)
+
+                else -> {
+                    rentals.remove(rental.step)
+                }
             }
         }
     }
 
-    private fun order(rental: Rental, term: Long) {
+    private fun order(
+        rental: Rental,
+        term: Long,
+    ) {
         rental.calledAt = ctx.now
         val offer = rental.offer
         val body =
@@ -253,13 +302,17 @@
                     rental.settledAt = ctx.now
                     rental.expected = 0
                 }
-                answer != null && (answer.status == 503 || answer.status == 429 || answer.status == 400) || outcome is Outcome.NotSent -> {
+
+                outcome is Outcome.NotSent || answer?.status in REFUSALS -> {
                     ctx.info("rental ${rental.step}: refused: ${answer?.status ?: "no connection"} ${answer?.body.orEmpty()}")
                     refuse(offer)
                     rental.settledAt = ctx.now
                     rental.expected = 0
                 }
-                else -> ctx.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
+
+                else -> {
+                    ctx.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
+                }
             }
         }
     }
@@ -287,7 +340,11 @@
                 machine.leaving = true
             }
         }
-        giveBack(workers.machines.values.filter { it.leaving && !it.returning && ledger.byMachine[it.id].isNullOrEmpty() }.take(MOST_PER_RETURN))
+        giveBack(
+            workers.machines.values
+                .filter { it.leaving && !it.returning && ledger.byMachine[it.id].isNullOrEmpty() }
+                .take(MOST_PER_RETURN),
+        )
     }
 
     private fun giveBack(list: List<Machine>) {
@@ -334,7 +391,14 @@
                     ledger.byMachine[m.id]?.values?.forEach { free -= it.charge.size }
                     Slot(m.type, m.zone, m.spot, free)
                 }.toMutableList()
-        rentals.values.forEach { r -> types.types[r.offer.type]?.let { t -> repeat(r.expected) { coming += Slot(t.name, r.offer.zone, r.offer.spot, t.size) } } }
+        rentals.values.forEach { r ->
+            types.types[r.offer.type]?.let { t ->
+                repeat(r.expected) {
+                    coming +=
+                        Slot(t.name, r.offer.zone, r.offer.spot, t.size)
+                }
+            }
+        }
         val wanted = LinkedHashMap<Offer, Int>()
         for ((spec, tasks) in demand.wanted()) {
             repeat(tasks) {
@@ -353,22 +417,37 @@
         returnIdle(coming)
     }
 
-    private class Slot(val type: String, val zone: String, val spot: Boolean, var free: Size) {
-        fun allows(spec: JobSpec): Boolean = (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) && (spec.spot || !spot)
+    private class Slot(
+        val type: String,
+        val zone: String,
+        val spot: Boolean,
+        var free: Size,
+    ) {
+        fun allows(spec: JobSpec): Boolean =
+            (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) && (spec.spot || !spot)
     }
 
-    private fun cheapest(types: Catalog, spec: JobSpec): Offer? =
+    private fun cheapest(
+        types: Catalog,
+        spec: JobSpec,
+    ): Offer? =
         types
             .allowed(spec)
             .flatMap { type ->
                 type.zones.filter { spec.zone == null || it == spec.zone }.flatMap { zone ->
-                    listOf(true, false).filter { !it || spec.spot }.map { spot -> Offer(type.name, zone, spot) to (if (spot) type.spotPrice else type.price) / fitting(type, spec) }
+                    listOf(true, false).filter { !it || spec.spot }.map { spot ->
+                        Offer(type.name, zone, spot) to
+                            (if (spot) type.spotPrice else type.price) / fitting(type, spec)
+                    }
                 }
             }.filter { ctx.now >= (refusedUntil[it.first] ?: 0.0) }
             .minByOrNull { it.second }
             ?.first
 
-    private fun fitting(type: MachineType, spec: JobSpec): Double {
+    private fun fitting(
+        type: MachineType,
+        spec: JobSpec,
+    ): Double {
         val byCpu = if (spec.size.cpus > 0) type.size.cpus / spec.size.cpus else 1e3
         val byMemory = if (spec.size.memoryGb > 0) type.size.memoryGb / spec.size.memoryGb else 1e3
         return Math.floor(minOf(byCpu, byMemory)).coerceAtLeast(1.0)
@@ -381,7 +460,13 @@
             }
         if (idle.isEmpty()) return
         // Only machines that the expected tasks leave wholly free are spare.
-        val spare = after.filter { s -> catalog?.types?.get(s.type)?.size == s.free }.groupingBy { Offer(it.type, it.zone, it.spot) }.eachCount().toMutableMap()
+        val spare =
+            after
+                .filter { s ->
+                    catalog?.types?.get(s.type)?.size == s.free
+                }.groupingBy { Offer(it.type, it.zone, it.spot) }
+                .eachCount()
+                .toMutableMap()
         val back =
             idle.sortedBy { it.idleSince }.filter { m ->
                 val offer = Offer(m.type, m.zone, m.spot)
@@ -393,6 +478,7 @@
     }
 
     private companion object {
+        val REFUSALS = setOf(400, 429, 503)
         const val CATALOG_S = 60.0
         const val CLOUD_TIMEOUT_S = 3.0
         const val PLAN_S = 1.0
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -34,7 +34,10 @@
 
     // --- submit
 
-    fun submit(body: String, then: (Answer) -> Unit) {
+    fun submit(
+        body: String,
+        then: (Answer) -> Unit,
+    ) {
         val node = Json.parseOrNull(body)
         val spec =
             try {
@@ -44,7 +47,8 @@
                 return
             }
         known(spec)?.let { return then(it) }
-        val types = fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
+        val types =
+            fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
         val never = neverRuns(spec, types.allowed(spec).isEmpty())
         if (never != null) return lookUpOr(spec.id, spec.fingerprint, Answer.error(422, never), then)
         create(spec, then)
@@ -59,20 +63,32 @@
 
     private fun changed(id: String) = Answer.error(409, "$id has been submitted with another description")
 
-    private fun neverRuns(spec: JobSpec, fitsNothing: Boolean): String? {
+    private fun neverRuns(
+        spec: JobSpec,
+        fitsNothing: Boolean,
+    ): String? {
         val team = ctx.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
         if (team.cpusMax > 0 && spec.size.cpus > team.cpusMax) return "a task needs more CPUs than the limit of ${team.name}"
         if (team.gpusMax > 0 && spec.size.gpus > team.gpusMax) return "a task needs more GPUs than the limit of ${team.name}"
         return if (fitsNothing) "a task fits no allowed machine type" else null
     }
 
-    private fun refuseUnlessKnown(node: JsonNode?, refusal: Answer, then: (Answer) -> Unit) {
+    private fun refuseUnlessKnown(
+        node: JsonNode?,
+        refusal: Answer,
+        then: (Answer) -> Unit,
+    ) {
         val id = node?.path("id")?.takeIf { it.isTextual }?.asText()
         if (id == null || !JobSpec.isId(id)) then(refusal) else lookUpOr(id, null, refusal, then)
     }
 
     /** A repeat of an accepted job is never called invalid, so the rows are asked before a refusal. */
-    private fun lookUpOr(id: String, fingerprint: String?, refusal: Answer, then: (Answer) -> Unit) {
+    private fun lookUpOr(
+        id: String,
+        fingerprint: String?,
+        refusal: Answer,
+        then: (Answer) -> Unit,
+    ) {
         readRows(id) { found ->
             when {
                 found == null -> then(Answer.unavailable("the state service does not answer"))
@@ -83,7 +99,10 @@
         }
     }
 
-    private fun create(spec: JobSpec, then: (Answer) -> Unit) {
+    private fun create(
+        spec: JobSpec,
+        then: (Answer) -> Unit,
+    ) {
         val row =
             Json.obj {
                 set<JsonNode>("job", spec.encode())
@@ -101,14 +120,27 @@
                     accepted(spec, row, result.revision)
                     then(Answer(201, standing(spec.id, Standing.QUEUED)))
                 }
-                is TxnResult.Conflict -> lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("try again"), then)
-                TxnResult.Unknown -> then(Answer.unavailable("the state service has not answered"))
-                TxnResult.Refused, TxnResult.NoLease -> then(Answer.unavailable("the state service takes no more at the moment"))
+
+                is TxnResult.Conflict -> {
+                    lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("try again"), then)
+                }
+
+                TxnResult.Unknown -> {
+                    then(Answer.unavailable("the state service has not answered"))
+                }
+
+                TxnResult.Refused, TxnResult.NoLease -> {
+                    then(Answer.unavailable("the state service takes no more at the moment"))
+                }
             }
         }
     }
 
-    private fun accepted(spec: JobSpec, row: JsonNode, stamp: Long) {
+    private fun accepted(
+        spec: JobSpec,
+        row: JsonNode,
+        stamp: Long,
+    ) {
         if (leadership.leading) {
             if (loaded) {
                 ledger.admit(spec.id, row, stamp)
@@ -121,7 +153,10 @@
 
     // --- query
 
-    fun query(id: String, then: (Answer) -> Unit) {
+    fun query(
+        id: String,
+        then: (Answer) -> Unit,
+    ) {
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
         local(id)?.let { return then(it) }
         val leader = leadership.knownLeader
@@ -136,7 +171,10 @@
         }
     }
 
-    private fun noteEnd(id: String, answer: Answer) {
+    private fun noteEnd(
+        id: String,
+        answer: Answer,
+    ) {
         val body = Json.parseOrNull(answer.body) ?: return
         val standing = body.path("standing").asText()
         if (answer.status == 200 && (standing == Standing.DONE.wire || standing == Standing.WITHDRAWN.wire) && body.path("fp").isTextual) {
@@ -157,7 +195,10 @@
         return if (decides) Answer(200, progress(job)) else null
     }
 
-    private fun queryRows(id: String, then: (Answer) -> Unit) {
+    private fun queryRows(
+        id: String,
+        then: (Answer) -> Unit,
+    ) {
         readRows(id) { found ->
             when (found) {
                 null -> then(Answer.unavailable("the state service does not answer"))
@@ -177,23 +218,42 @@
             override val standing: Standing = Standing.QUEUED
         }
 
-        data class Live(override val fingerprint: String) : Found {
+        data class Live(
+            override val fingerprint: String,
+        ) : Found {
             override val standing: Standing = Standing.QUEUED
         }
 
-        data class Over(val end: Ledger.End) : Found {
+        data class Over(
+            val end: Ledger.End,
+        ) : Found {
             override val fingerprint: String = end.fingerprint
             override val standing: Standing = end.standing
         }
     }
 
     /** The live row first: a job moves from there to its end, so one that is missed there is found here. Null when a read failed. */
-    private fun readRows(id: String, then: (Found?) -> Unit) {
+    private fun readRows(
+        id: String,
+        then: (Found?) -> Unit,
+    ) {
         store.get("live/$id", Urgency.USER) { live ->
             when (live) {
-                is Read.Found -> then(Found.Live(live.value.value.path("fp").asText()))
-                Read.Failed -> then(null)
-                Read.Absent ->
+                is Read.Found -> {
+                    then(
+                        Found.Live(
+                            live.value.value
+                                .path("fp")
+                                .asText(),
+                        ),
+                    )
+                }
+
+                Read.Failed -> {
+                    then(null)
+                }
+
+                Read.Absent -> {
                     store.get("over/$id", Urgency.USER) { over ->
                         when (over) {
                             is Read.Found -> then(ledger.learnEnd(id, over.value.value)?.let { Found.Over(it) })
@@ -201,28 +261,42 @@
                             Read.Failed -> then(null)
                         }
                     }
+                }
             }
         }
     }
 
     // --- abort
 
-    fun abort(id: String, then: (Answer) -> Unit) {
+    fun abort(
+        id: String,
+        then: (Answer) -> Unit,
+    ) {
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
         ledger.end(id)?.let { return then(told(id, it.standing)) }
         val leader = leadership.knownLeader
         when {
-            decides -> abortHere(id, then)
-            leadership.leading || leader == null || leader == ctx.settings.member -> then(Answer.unavailable("no leader at the moment"))
-            else ->
+            decides -> {
+                abortHere(id, then)
+            }
+
+            leadership.leading || leader == null || leader == ctx.settings.member -> {
+                then(Answer.unavailable("no leader at the moment"))
+            }
+
+            else -> {
                 peers.ask(leader, "POST", "/api/jobs/$id/abort", "", ABORT_S) { answer ->
                     answer?.let { noteEnd(id, it) }
                     then(answer ?: Answer.unavailable("the leader does not answer"))
                 }
+            }
         }
     }
 
-    private fun abortHere(id: String, then: (Answer) -> Unit) {
+    private fun abortHere(
+        id: String,
+        then: (Answer) -> Unit,
+    ) {
         val job = ledger.jobs[id]
         if (job != null) return withdraw(job, then)
         val term = leadership.term
@@ -230,16 +304,30 @@
             when (live) {
                 is Read.Found -> {
                     val found = if (leadership.term == term && decides) ledger.admit(id, live.value.value, live.value.stamp) else null
-                    if (found != null) withdraw(found, then) else then(ledger.end(id)?.let { told(id, it.standing) } ?: Answer.unavailable("try again"))
+                    if (found !=
+                        null
+                    ) {
+                        withdraw(found, then)
+                    } else {
+                        then(ledger.end(id)?.let { told(id, it.standing) } ?: Answer.unavailable("try again"))
+                    }
+                }
+
+                Read.Failed -> {
+                    then(Answer.unavailable("the state service does not answer"))
                 }
-                Read.Failed -> then(Answer.unavailable("the state service does not answer"))
-                Read.Absent ->
+
+                Read.Absent -> {
                     lookUpOr(id, null, Answer.error(404, "no such job"), then)
+                }
             }
         }
     }
 
-    private fun withdraw(job: Job, then: (Answer) -> Unit) {
+    private fun withdraw(
+        job: Job,
+        then: (Answer) -> Unit,
+    ) {
         var told = false
         job.whenOver += { standing ->
             if (!told) {
@@ -258,9 +346,15 @@
 
     // --- bodies
 
-    private fun told(id: String, standing: Standing) = Answer(200, standing(id, standing))
+    private fun told(
+        id: String,
+        standing: Standing,
+    ) = Answer(200, standing(id, standing))
 
-    private fun standing(id: String, standing: Standing): String =
+    private fun standing(
+        id: String,
+        standing: Standing,
+    ): String =
         Json.write(
             Json.obj {
                 put("id", id)
@@ -279,7 +373,10 @@
             },
         )
 
-    private fun ended(id: String, end: Ledger.End): String =
+    private fun ended(
+        id: String,
+        end: Ledger.End,
+    ): String =
         Json.write(
             Json.obj {
                 put("id", id)
--- a/src/main/kotlin/burlridge/intake/JobSpec.kt
+++ b/src/main/kotlin/burlridge/intake/JobSpec.kt
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.JsonNode
 import com.google.common.hash.Hashing
 
-internal enum class Priority(val wire: String) {
+internal enum class Priority(
+    val wire: String,
+) {
     PRODUCTION("prod"),
     HIGH("high"),
     NORMAL("normal"),
@@ -17,7 +19,11 @@
 }
 
 /** What one task takes of its machine. */
-internal data class Size(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+internal data class Size(
+    val cpus: Double,
+    val gpus: Double,
+    val memoryGb: Double,
+) {
     fun fits(free: Size): Boolean = cpus <= free.cpus + SLACK && gpus <= free.gpus + SLACK && memoryGb <= free.memoryGb + SLACK
 
     operator fun minus(other: Size): Size = Size(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
@@ -52,7 +58,11 @@
 ) {
     /** The same for every repeat of the same submission. */
     val fingerprint: String by lazy {
-        Hashing.sha256().hashUnencodedChars(Json.write(encode())).toString().take(FINGERPRINT_CHARS)
+        Hashing
+            .sha256()
+            .hashUnencodedChars(Json.write(encode()))
+            .toString()
+            .take(FINGERPRINT_CHARS)
     }
 
     fun encode(): JsonNode =
@@ -101,7 +111,10 @@
                 id = id,
                 lane = body.string("lane"),
                 team = body.string("crew"),
-                priority = Priority.of(body.string("urgency")) ?: throw BadJob("urgency must be one of ${Priority.entries.map { it.wire }}"),
+                priority =
+                    Priority.of(
+                        body.string("urgency"),
+                    ) ?: throw BadJob("urgency must be one of ${Priority.entries.map { it.wire }}"),
                 tasks = tasks.toInt(),
                 size = size,
                 image = body.string("bundle"),
@@ -143,7 +156,8 @@
             return node.asLong()
         }
 
-        private fun JsonNode.flag(name: String): Boolean = need(name).takeIf { it.isBoolean }?.asBoolean() ?: throw BadJob("$name must be true or false")
+        private fun JsonNode.flag(name: String): Boolean =
+            need(name).takeIf { it.isBoolean }?.asBoolean() ?: throw BadJob("$name must be true or false")
 
         private fun JsonNode.types(): List<String>? {
             val node = present("breeds") ?: return null
@@ -155,4 +169,6 @@
     }
 }
 
-internal class BadJob(reason: String) : Exception(reason)
+internal class BadJob(
+    reason: String,
+) : Exception(reason)
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -6,10 +6,21 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
 import java.util.BitSet
 
-internal enum class Standing(val wire: String) { QUEUED("queued"), RUNNING("running"), DONE("done"), WITHDRAWN("withdrawn") }
+internal enum class Standing(
+    val wire: String,
+) {
+    QUEUED("queued"),
+    RUNNING("running"),
+    DONE("done"),
+    WITHDRAWN("withdrawn"),
+}
 
 /** An accepted job that is not over, as its leader knows it. */
-internal class Job(val spec: JobSpec, val stamp: Long, val submittedMs: Long) {
+internal class Job(
+    val spec: JobSpec,
+    val stamp: Long,
+    val submittedMs: Long,
+) {
     val done: BitSet = BitSet()
     val durable: BitSet = BitSet()
 
@@ -34,7 +45,10 @@
 
     val complete: Boolean get() = done.cardinality() == spec.tasks
 
-    fun waits(task: Int, now: Double): Boolean = !done.get(task) && !claims.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= now
+    fun waits(
+        task: Int,
+        now: Double,
+    ): Boolean = !done.get(task) && !claims.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= now
 }
 
 internal enum class Phase {
@@ -77,10 +91,16 @@
 }
 
 /** What a claim takes, and whose limit it counts against; kept with the row since a claim can outlive its job's row. */
-internal data class Charge(val team: String, val size: burlridge.intake.Size)
+internal data class Charge(
+    val team: String,
+    val size: burlridge.intake.Size,
+)
 
 /** One row: the starts claimed in one placement round. */
-internal class Round(val number: String, val claims: List<Claim>) {
+internal class Round(
+    val number: String,
+    val claims: List<Claim>,
+) {
     var stamp: Long = 0
     var stale: Boolean = false
     var writing: Boolean = false
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -18,7 +18,11 @@
 import java.util.BitSet
 
 /** The leader's picture of jobs and claims, each of its changes written under the fence of its term. */
-internal class Ledger(private val ctx: Context, private val store: Store, private val leadership: Leadership) {
+internal class Ledger(
+    private val ctx: Context,
+    private val store: Store,
+    private val leadership: Leadership,
+) {
     val jobs: LinkedHashMap<String, Job> = LinkedHashMap()
 
     /** Active claims by machine. */
@@ -31,11 +35,18 @@
     /** Ends once told stay told; only durable ones get in here. */
     private val ends = CacheBuilder.newBuilder().maximumSize(ENDS_KEPT).build<String, End>()
 
-    data class End(val standing: Standing, val fingerprint: String, val tasks: Int)
+    data class End(
+        val standing: Standing,
+        val fingerprint: String,
+        val tasks: Int,
+    )
 
     fun end(job: String): End? = ends.getIfPresent(job)
 
-    fun learnEnd(job: String, row: JsonNode): End? {
+    fun learnEnd(
+        job: String,
+        row: JsonNode,
+    ): End? {
         val standing = Standing.entries.firstOrNull { it.wire == row.path("st").asText() } ?: return null
         return End(standing, row.path("fp").asText(), row.path("n").asInt()).also { ends.put(job, it) }
     }
@@ -54,7 +65,11 @@
 
     // --- jobs
 
-    fun admit(job: String, row: JsonNode, stamp: Long): Job? {
+    fun admit(
+        job: String,
+        row: JsonNode,
+        stamp: Long,
+    ): Job? {
         jobs[job]?.let { return it }
         if (end(job) != null) return null
         val spec =
@@ -79,13 +94,19 @@
         job.progress.put(chunk, row.stamp)
     }
 
-    fun markDone(job: Job, task: Int) {
+    fun markDone(
+        job: Job,
+        task: Int,
+    ) {
         if (!job.done.get(task)) job.done.set(task)
         if (job.complete) finish(job, Standing.DONE)
     }
 
     /** Writes the end of [job]; the one transaction that moves its row decides between done and withdrawn. */
-    fun finish(job: Job, standing: Standing) {
+    fun finish(
+        job: Job,
+        standing: Standing,
+    ) {
         if (job.ending != null) return
         job.ending = standing
         val id = job.spec.id
@@ -103,14 +124,21 @@
         val urgency = if (standing == Standing.DONE) Urgency.FINISH else Urgency.USER
         store.ensure(txn, urgency, stillMine(leadership.term)) { result ->
             when (result) {
-                is TxnResult.Done -> ended(job, standing)
-                is TxnResult.Conflict ->
+                is TxnResult.Done -> {
+                    ended(job, standing)
+                }
+
+                is TxnResult.Conflict -> {
                     if (Leadership.TERM in result.failed) {
                         leadership.stepDown("its term has been passed")
                     } else {
                         readEnd(job)
                     }
-                else -> job.ending = null
+                }
+
+                else -> {
+                    job.ending = null
+                }
             }
         }
     }
@@ -125,7 +153,10 @@
         }
     }
 
-    private fun ended(job: Job, standing: Standing) {
+    private fun ended(
+        job: Job,
+        standing: Standing,
+    ) {
         job.over = standing
         ends.put(job.spec.id, End(standing, job.spec.fingerprint, job.spec.tasks))
         jobs.remove(job.spec.id)
@@ -137,7 +168,10 @@
     // --- claims
 
     /** Reserves [claims] and writes their row; [then] is told whether they may be sent. */
-    fun claim(claims: List<Claim>, then: (Boolean) -> Unit) {
+    fun claim(
+        claims: List<Claim>,
+        then: (Boolean) -> Unit,
+    ) {
         val round = Round("${leadership.term}-${nextRound++}", claims)
         rounds[round.number] = round
         claims.forEach {
@@ -146,12 +180,17 @@
             hold(it)
         }
         val conditions = claims.map { it.job }.distinct().mapNotNull { id -> jobs[id]?.let { Condition("live/$id", it.stamp) } }
-        val txn = Txn(listOf(fence(), Condition("round/${round.number}", 0)) + conditions, listOf(Op.Put("round/${round.number}", encode(round))))
+        val txn =
+            Txn(listOf(fence(), Condition("round/${round.number}", 0)) + conditions, listOf(Op.Put("round/${round.number}", encode(round))))
         round.writing = true
         store.ensure(txn, Urgency.CLAIM, stillMine(leadership.term)) { result -> claimed(round, result, then) }
     }
 
-    private fun claimed(round: Round, result: TxnResult, then: (Boolean) -> Unit) {
+    private fun claimed(
+        round: Round,
+        result: TxnResult,
+        then: (Boolean) -> Unit,
+    ) {
         when (result) {
             is TxnResult.Done -> {
                 round.stamp = result.revision
@@ -159,17 +198,26 @@
                 round.claims.forEach { if (it.phase == Phase.CLAIMING) it.phase = Phase.CLAIMED }
                 then(true)
             }
-            is TxnResult.Conflict ->
+
+            is TxnResult.Conflict -> {
                 when {
-                    Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
+                    Leadership.TERM in result.failed -> {
+                        leadership.stepDown("its term has been passed")
+                    }
+
                     // An earlier copy of this very transaction was applied: only we write this key.
-                    "round/${round.number}" in result.failed -> readRound(round, then)
+                    "round/${round.number}" in result.failed -> {
+                        readRound(round, then)
+                    }
+
                     // A job in it is over, so nothing was claimed.
                     else -> {
                         drop(round)
                         then(false)
                     }
                 }
+            }
+
             else -> {
                 drop(round)
                 then(false)
@@ -177,17 +225,26 @@
         }
     }
 
-    private fun readRound(round: Round, then: (Boolean) -> Unit) {
+    private fun readRound(
+        round: Round,
+        then: (Boolean) -> Unit,
+    ) {
         val term = leadership.term
         store.get("round/${round.number}", Urgency.CLAIM) { read ->
             if (!stillMine(term)()) return@get
             when (read) {
-                is burlridge.store.Read.Found -> claimed(round, TxnResult.Done(read.value.stamp), then)
+                is burlridge.store.Read.Found -> {
+                    claimed(round, TxnResult.Done(read.value.stamp), then)
+                }
+
                 burlridge.store.Read.Absent -> {
                     drop(round)
                     then(false)
                 }
-                burlridge.store.Read.Failed -> ctx.later(1.0) { if (stillMine(term)()) readRound(round, then) }
+
+                burlridge.store.Read.Failed -> {
+                    ctx.later(1.0) { if (stillMine(term)()) readRound(round, then) }
+                }
             }
         }
     }
@@ -207,7 +264,10 @@
     }
 
     /** The claim's task is known to be gone from its machine, and no start of it can come any more. */
-    fun release(claim: Claim, lost: Boolean) {
+    fun release(
+        claim: Claim,
+        lost: Boolean,
+    ) {
         if (claim.ended) return
         claim.phase = Phase.ENDED
         claim.lost = lost
@@ -225,12 +285,33 @@
             val jobs = round.claims.associate { it.job to it.charge }
             putObject("jobs").apply {
                 jobs.forEach { (id, charge) ->
-                    putArray(id).add(charge.team).add(charge.size.cpus).add(charge.size.gpus).add(charge.size.memoryGb)
+                    putArray(id)
+                        .add(charge.team)
+                        .add(charge.size.cpus)
+                        .add(charge.size.gpus)
+                        .add(charge.size.memoryGb)
                 }
             }
             val starts = putArray("s")
-            round.claims.forEach { starts.addArray().add(it.job).add(it.task).add(it.run).add(it.machine).add(it.session).add(if (it.lost) 1 else 0) }
-            put("fp", com.google.common.hash.Hashing.sha256().hashUnencodedChars(starts.toString()).toString().take(16))
+            round.claims.forEach {
+                starts
+                    .addArray()
+                    .add(
+                        it.job,
+                    ).add(it.task)
+                    .add(it.run)
+                    .add(it.machine)
+                    .add(it.session)
+                    .add(if (it.lost) 1 else 0)
+            }
+            put(
+                "fp",
+                com.google.common.hash.Hashing
+                    .sha256()
+                    .hashUnencodedChars(starts.toString())
+                    .toString()
+                    .take(16),
+            )
         }
 
     fun loadRound(row: Row) {
@@ -242,7 +323,15 @@
         val claims =
             row.value.path("s").mapNotNull { s ->
                 val charge = charges[s.path(0).asText()] ?: return@mapNotNull null
-                Claim(s.path(0).asText(), s.path(1).asInt(), s.path(2).asInt(), s.path(3).asText(), s.path(4).asLong(), charge, Phase.SENT).also {
+                Claim(
+                    s.path(0).asText(),
+                    s.path(1).asInt(),
+                    s.path(2).asInt(),
+                    s.path(3).asText(),
+                    s.path(4).asLong(),
+                    charge,
+                    Phase.SENT,
+                ).also {
                     it.lost = s.path(5).asInt() == 1
                     it.claimedAt = ctx.now
                 }
@@ -283,7 +372,10 @@
         lastCleanAt = ctx.now
         val finished = rounds.values.filter { it.stamp > 0 && !it.writing && it.claims.all(::settled) }.take(ctx.settings.store.txnOps)
         if (finished.isNotEmpty()) remove(finished)
-        rounds.values.filter { it.stale && it.stamp > 0 && !it.writing }.take(2).forEach { rewrite(it) }
+        rounds.values
+            .filter { it.stale && it.stamp > 0 && !it.writing }
+            .take(2)
+            .forEach { rewrite(it) }
     }
 
     /** Nothing of this claim needs remembering: its task's end is durable, or a later run has been claimed. */
@@ -306,12 +398,16 @@
     private fun rewrite(round: Round) {
         round.writing = true
         round.stale = false
-        val txn = Txn(listOf(fence(), Condition("round/${round.number}", round.stamp)), listOf(Op.Put("round/${round.number}", encode(round))))
+        val txn =
+            Txn(listOf(fence(), Condition("round/${round.number}", round.stamp)), listOf(Op.Put("round/${round.number}", encode(round))))
         store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
             round.writing = false
             when (result) {
-                is TxnResult.Done -> round.stamp = result.revision
-                is TxnResult.Conflict ->
+                is TxnResult.Done -> {
+                    round.stamp = result.revision
+                }
+
+                is TxnResult.Conflict -> {
                     if (Leadership.TERM in result.failed) {
                         leadership.stepDown("its term has been passed")
                     } else {
@@ -320,7 +416,11 @@
                             round.stale = true
                         }
                     }
-                else -> round.stale = true
+                }
+
+                else -> {
+                    round.stale = true
+                }
             }
         }
     }
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -12,7 +12,11 @@
 import burlridge.store.Urgency
 
 /** One leader at a time, by a tethered row and a term raised by compare-and-swap. */
-internal class Leadership(private val ctx: Context, private val store: Store, private val events: Events) {
+internal class Leadership(
+    private val ctx: Context,
+    private val store: Store,
+    private val events: Events,
+) {
     internal interface Events {
         fun onElected()
 
@@ -80,8 +84,14 @@
                     renewedAt = sentAt
                     nextRenewAt = sentAt + ttlS / 4
                 }
-                404 -> stepDown("the lease of the leader row has ended")
-                else -> nextRenewAt = ctx.now + ttlS / 12
+
+                404 -> {
+                    stepDown("the lease of the leader row has ended")
+                }
+
+                else -> {
+                    nextRenewAt = ctx.now + ttlS / 12
+                }
             }
         }
     }
@@ -102,16 +112,30 @@
             if (leading || campaigning) return@get
             when (read) {
                 is Read.Found -> {
-                    val name = read.value.value.path("member").asText()
+                    val name =
+                        read.value.value
+                            .path("member")
+                            .asText()
                     if (name == settings.member) {
                         // Our former self held it and is dead: nobody else can be elected meanwhile.
                         campaign(read.value.stamp)
                     } else {
-                        learn(name, read.value.value.path("term").asLong())
+                        learn(
+                            name,
+                            read.value.value
+                                .path("term")
+                                .asLong(),
+                        )
                     }
                 }
-                Read.Absent -> campaign(0)
-                Read.Failed -> Unit
+
+                Read.Absent -> {
+                    campaign(0)
+                }
+
+                Read.Failed -> {
+                    Unit
+                }
             }
         }
     }
@@ -132,7 +156,13 @@
         }
     }
 
-    private fun claim(leaderStamp: Long, termStamp: Long, next: Long, lease: Long, sentAt: Double) {
+    private fun claim(
+        leaderStamp: Long,
+        termStamp: Long,
+        next: Long,
+        lease: Long,
+        sentAt: Double,
+    ) {
         val row =
             Json.obj {
                 put("member", settings.member)
@@ -154,7 +184,12 @@
         }
     }
 
-    private fun elected(newTerm: Long, revision: Long, lease: Long, sentAt: Double) {
+    private fun elected(
+        newTerm: Long,
+        revision: Long,
+        lease: Long,
+        sentAt: Double,
+    ) {
         term = newTerm
         highestTerm = maxOf(highestTerm, newTerm)
         fence = revision
@@ -172,7 +207,10 @@
         announce()
     }
 
-    fun learn(leader: String, atTerm: Long) {
+    fun learn(
+        leader: String,
+        atTerm: Long,
+    ) {
         if (atTerm < highestTerm) return
         highestTerm = atTerm
         if (leading && atTerm > term) stepDown("$leader leads term $atTerm")
--- a/src/main/kotlin/burlridge/peer/PeerLinks.kt
+++ b/src/main/kotlin/burlridge/peer/PeerLinks.kt
@@ -4,6 +4,7 @@
 import burlridge.app.Settings
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
@@ -13,6 +14,7 @@
 import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -20,10 +22,17 @@
 import kotlinx.coroutines.withTimeout
 
 /** One outgoing connection to each other member; frames are a length and a protobuf message. */
-internal class PeerLinks(private val settings: Settings, private val selector: SelectorManager, private val receive: (PeerMessage) -> Unit) {
+internal class PeerLinks(
+    private val settings: Settings,
+    private val selector: SelectorManager,
+    private val receive: (PeerMessage) -> Unit,
+) {
     private val queues = settings.others.associate { it.member to Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
 
-    fun send(member: String, message: PeerMessage) {
+    fun send(
+        member: String,
+        message: PeerMessage,
+    ) {
         queues[member]?.trySend(message)
     }
 
@@ -32,22 +41,14 @@
         scope.launch { listen(scope) }
     }
 
-    private suspend fun dial(to: Endpoint, queue: Channel<PeerMessage>) {
+    private suspend fun dial(
+        to: Endpoint,
+        queue: Channel<PeerMessage>,
+    ) {
         while (true) {
             try {
-                withTimeout(CONNECT_MS) { aSocket(selector).tcp().connect(InetSocketAddress(to.host, to.port)) { noDelay = true } }.use { socket ->
-                    val output = socket.openWriteChannel(autoFlush = false)
-                    val input = socket.openReadChannel()
-                    while (!input.isClosedForRead) {
-                        val bytes = PeerMessage.encode(queue.receive())
-                        withTimeout(WRITE_MS) {
-                            output.writeInt(bytes.size)
-                            output.writeFully(bytes)
-                            output.flush()
-                        }
-                    }
-                }
-            } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+                withTimeout(CONNECT_MS) { connect(to) }.use { socket -> deliver(socket, queue) }
+            } catch (_: TimeoutCancellationException) {
                 // A silent member: dial again.
             } catch (e: CancellationException) {
                 throw e
@@ -60,6 +61,25 @@
         }
     }
 
+    private suspend fun connect(to: Endpoint): Socket =
+        aSocket(selector).tcp().connect(InetSocketAddress(to.host, to.port)) { noDelay = true }
+
+    private suspend fun deliver(
+        socket: Socket,
+        queue: Channel<PeerMessage>,
+    ) {
+        val output = socket.openWriteChannel(autoFlush = false)
+        val input = socket.openReadChannel()
+        while (!input.isClosedForRead) {
+            val bytes = PeerMessage.encode(queue.receive())
+            withTimeout(WRITE_MS) {
+                output.writeInt(bytes.size)
+                output.writeFully(bytes)
+                output.flush()
+            }
+        }
+    }
+
     private suspend fun listen(scope: CoroutineScope) {
         val server = aSocket(selector).tcp().bind(InetSocketAddress(settings.peerBind.host, settings.peerBind.port)) { reuseAddress = true }
         while (true) {
--- a/src/main/kotlin/burlridge/peer/PeerMessage.kt
+++ b/src/main/kotlin/burlridge/peer/PeerMessage.kt
@@ -27,16 +27,31 @@
     /** A request passed on to the leader. */
     @Serializable
     @SerialName("a")
-    data class Ask(override val from: String, val ask: Long, val method: String, val path: String, val body: String) : PeerMessage
+    data class Ask(
+        override val from: String,
+        val ask: Long,
+        val method: String,
+        val path: String,
+        val body: String,
+    ) : PeerMessage
 
     @Serializable
     @SerialName("r")
-    data class Reply(override val from: String, val ask: Long, val status: Int, val body: String, val retryAfterS: Int) : PeerMessage
+    data class Reply(
+        override val from: String,
+        val ask: Long,
+        val status: Int,
+        val body: String,
+        val retryAfterS: Int,
+    ) : PeerMessage
 
     /** News of a job whose row [from] has just written. */
     @Serializable
     @SerialName("j")
-    data class Accepted(override val from: String, val job: String) : PeerMessage
+    data class Accepted(
+        override val from: String,
+        val job: String,
+    ) : PeerMessage
 
     @OptIn(ExperimentalSerializationApi::class)
     companion object {
--- a/src/main/kotlin/burlridge/peer/Peers.kt
+++ b/src/main/kotlin/burlridge/peer/Peers.kt
@@ -5,7 +5,9 @@
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
 
 /** Links between the controllers: statuses, requests passed to the leader, and news of accepted jobs. */
-internal class Peers(private val ctx: Context) {
+internal class Peers(
+    private val ctx: Context,
+) {
     private val asked = Long2ObjectOpenHashMap<(Answer?) -> Unit>()
     private var nextAsk = 1L
     private val heardAt = HashMap<String, Double>()
@@ -17,7 +19,14 @@
     fun silent(member: String): Boolean = ctx.now > (heardAt[member] ?: -1e9) + SILENT_S
 
     /** Asks [member]; null when it does not answer in time. A member long unheard of is not waited for. */
-    fun ask(member: String, method: String, path: String, body: String, patienceS: Double, then: (Answer?) -> Unit) {
+    fun ask(
+        member: String,
+        method: String,
+        path: String,
+        body: String,
+        patienceS: Double,
+        then: (Answer?) -> Unit,
+    ) {
         if (silent(member)) return then(null)
         val id = nextAsk++
         asked.put(id, then)
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -12,13 +12,25 @@
 import burlridge.worker.Workers
 
 /** Team queues served in turn by shares, and best fit over a few sampled machines. */
-internal class Placement(private val ctx: Context, private val ledger: Ledger, private val workers: Workers, private val fleet: Fleet) {
-    private class Room(val machine: Machine, val whole: Size, var free: Size)
+internal class Placement(
+    private val ctx: Context,
+    private val ledger: Ledger,
+    private val workers: Workers,
+    private val fleet: Fleet,
+) {
+    private class Room(
+        val machine: Machine,
+        val whole: Size,
+        var free: Size,
+    )
 
     /** One round: as many waiting tasks as there is room for, claimed in one row. */
     fun round() {
         val catalog = fleet.catalog ?: return
-        val rooms = workers.machines.values.filter { usable(it) }.mapNotNull { m -> catalog.types[m.type]?.let { Room(m, it.size, free(m, it.size)) } }
+        val rooms =
+            workers.machines.values.filter { usable(it) }.mapNotNull { m ->
+                catalog.types[m.type]?.let { Room(m, it.size, free(m, it.size)) }
+            }
         if (rooms.isEmpty()) return
         val claims = ArrayList<Claim>()
         val used = HashMap(ledger.used)
@@ -28,15 +40,25 @@
         }
         if (claims.isNotEmpty()) {
             claims.groupBy { it.job }.forEach { (job, starts) -> ctx.debug("claims ${starts.size} starts of $job") }
-            ledger.claim(claims) { granted -> if (granted) claims.map { it.machine }.distinct().forEach { id -> workers.machines[id]?.let(workers::command) } }
+            ledger.claim(claims) { granted ->
+                if (granted) {
+                    claims.map { it.machine }.distinct().forEach { id ->
+                        workers.machines[id]?.let(workers::command)
+                    }
+                }
+            }
         }
     }
 
     private fun usable(machine: Machine): Boolean =
-        machine.up && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore && !workers.silent(machine) &&
+        machine.up && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
+            !workers.silent(machine) &&
             machine.refusals == 0
 
-    fun free(machine: Machine, whole: Size): Size {
+    fun free(
+        machine: Machine,
+        whole: Size,
+    ): Size {
         var free = whole
         ledger.byMachine[machine.id]?.values?.forEach { free -= it.charge.size }
         machine.strays.forEach { piece -> ledger.jobs[piece.substringBefore('/')]?.let { free -= it.spec.size } }
@@ -59,7 +81,12 @@
 
     private fun due(job: Job): Double = job.spec.deadlineS?.let { job.submittedMs / 1000.0 + it } ?: Double.MAX_VALUE
 
-    private fun place(job: Job, rooms: List<Room>, claims: MutableList<Claim>, used: HashMap<String, Size>) {
+    private fun place(
+        job: Job,
+        rooms: List<Room>,
+        claims: MutableList<Claim>,
+        used: HashMap<String, Size>,
+    ) {
         val spec = job.spec
         val team = ctx.settings.teams[spec.team] ?: return
         val zones = HashMap<String, Int>()
@@ -75,28 +102,43 @@
                 room.free -= spec.size
                 used[spec.team] = after
                 zones.merge(room.machine.zone, 1, Int::plus)
-                claims += Claim(spec.id, task, job.lastRun.get(task) + 1, room.machine.id, room.machine.session, Charge(spec.team, spec.size))
+                claims +=
+                    Claim(spec.id, task, job.lastRun.get(task) + 1, room.machine.id, room.machine.session, Charge(spec.team, spec.size))
             }
             task = job.done.nextClearBit(task + 1)
         }
     }
 
-    private fun allows(spec: JobSpec, machine: Machine): Boolean =
-        (spec.types == null || machine.type in spec.types) && (spec.zone == null || spec.zone == machine.zone) && (spec.spot || !machine.spot)
+    private fun allows(
+        spec: JobSpec,
+        machine: Machine,
+    ): Boolean =
+        (spec.types == null || machine.type in spec.types) && (spec.zone == null || spec.zone == machine.zone) &&
+            (spec.spot || !machine.spot)
 
-    private fun zoneAllows(spec: JobSpec, zones: Map<String, Int>, zone: String): Boolean {
+    private fun zoneAllows(
+        spec: JobSpec,
+        zones: Map<String, Int>,
+        zone: String,
+    ): Boolean {
         if (spec.oneZone && zones.keys.any { it != zone }) return false
         return !spec.spread || (zones[zone] ?: 0) < (spec.tasks + 1) / 2
     }
 
     /** Best fit over a sample of the machines with room; a machine that holds the image goes before one that does not. */
-    private fun choose(withRoom: List<Room>, spec: JobSpec): Room? {
+    private fun choose(
+        withRoom: List<Room>,
+        spec: JobSpec,
+    ): Room? {
         if (withRoom.isEmpty()) return null
         val sample = if (withRoom.size <= SAMPLE) withRoom else withRoom.shuffled(ctx.random).take(SAMPLE)
         return sample.minByOrNull { leftover(it, spec) }
     }
 
-    private fun leftover(room: Room, spec: JobSpec): Double {
+    private fun leftover(
+        room: Room,
+        spec: JobSpec,
+    ): Double {
         val left = room.free - spec.size
         val memoryUnit = room.whole.memoryGb.coerceAtLeast(1.0) / room.whole.cpus.coerceAtLeast(1.0)
         return left.cpus + left.gpus * GPU_WEIGHT + left.memoryGb / memoryUnit / 2
--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -5,22 +5,42 @@
 import burlridge.app.Outcome
 import com.fasterxml.jackson.databind.JsonNode
 
-internal data class Row(val key: String, val value: JsonNode, val stamp: Long)
+internal data class Row(
+    val key: String,
+    val value: JsonNode,
+    val stamp: Long,
+)
 
-internal data class Condition(val key: String, val stamp: Long)
+internal data class Condition(
+    val key: String,
+    val stamp: Long,
+)
 
 internal sealed interface Op {
-    data class Put(val key: String, val value: JsonNode, val tether: Long? = null) : Op
-
-    data class Delete(val key: String) : Op
+    data class Put(
+        val key: String,
+        val value: JsonNode,
+        val tether: Long? = null,
+    ) : Op
+
+    data class Delete(
+        val key: String,
+    ) : Op
 }
 
-internal data class Txn(val conditions: List<Condition>, val ops: List<Op>)
+internal data class Txn(
+    val conditions: List<Condition>,
+    val ops: List<Op>,
+)
 
 internal sealed interface TxnResult {
-    data class Done(val revision: Long) : TxnResult
+    data class Done(
+        val revision: Long,
+    ) : TxnResult
 
-    data class Conflict(val failed: List<String>) : TxnResult
+    data class Conflict(
+        val failed: List<String>,
+    ) : TxnResult
 
     /** Definitely not executed. */
     data object Refused : TxnResult
@@ -33,17 +53,24 @@
 }
 
 internal sealed interface Read<out T> {
-    data class Found<T>(val value: T) : Read<T>
+    data class Found<T>(
+        val value: T,
+    ) : Read<T>
 
     data object Absent : Read<Nothing>
 
     data object Failed : Read<Nothing>
 }
 
-internal data class Listing(val rows: List<Row>, val revision: Long)
+internal data class Listing(
+    val rows: List<Row>,
+    val revision: Long,
+)
 
 /** The client of the state service. Writes wait in a queue for this member's part of the shared budget. */
-internal class Store(private val ctx: Context) {
+internal class Store(
+    private val ctx: Context,
+) {
     private val settings = ctx.settings
     private val writes = Bucket(settings.store.writeRps / settings.controllers)
     private val requests = Bucket(settings.store.rps / settings.controllers)
@@ -53,7 +80,13 @@
     private var lastRefusedAt = -1.0
     private var pausedUntil = 0.0
 
-    private class Waiting(val cost: Int, val since: Double, val patienceS: Double, val send: () -> Unit, val drop: () -> Unit)
+    private class Waiting(
+        val cost: Int,
+        val since: Double,
+        val patienceS: Double,
+        val send: () -> Unit,
+        val drop: () -> Unit,
+    )
 
     /** Whether the state service has lately answered this member with anything but a refusal. */
     val served: Boolean get() = lastRefusedAt < lastServedAt || ctx.now - lastServedAt < CALL_TIMEOUT_S
@@ -62,7 +95,11 @@
         leads = yes
     }
 
-    fun get(key: String, urgency: Urgency, then: (Read<Row>) -> Unit) {
+    fun get(
+        key: String,
+        urgency: Urgency,
+        then: (Read<Row>) -> Unit,
+    ) {
         enqueue(urgency, 0, READ_PATIENCE_S, { then(Read.Failed) }) {
             call("GET", "/store/$key", null, CALL_TIMEOUT_S) { status, body ->
                 val value = body?.get("value")
@@ -75,11 +112,22 @@
         }
     }
 
-    fun list(prefix: String, urgency: Urgency, then: (Listing?) -> Unit) {
+    fun list(
+        prefix: String,
+        urgency: Urgency,
+        then: (Listing?) -> Unit,
+    ) {
         page(prefix, "", urgency, ArrayList(), 0L, then)
     }
 
-    private fun page(prefix: String, from: String, urgency: Urgency, rows: ArrayList<Row>, firstRevision: Long, then: (Listing?) -> Unit) {
+    private fun page(
+        prefix: String,
+        from: String,
+        urgency: Urgency,
+        rows: ArrayList<Row>,
+        firstRevision: Long,
+        then: (Listing?) -> Unit,
+    ) {
         enqueue(urgency, 0, READ_PATIENCE_S, { then(null) }) {
             val after = if (from.isEmpty()) "" else "&from=$from"
             call("GET", "/store?starts=$prefix$after&limit=$PAGE", null, CALL_TIMEOUT_S) { status, body ->
@@ -99,7 +147,12 @@
         }
     }
 
-    fun txn(txn: Txn, urgency: Urgency, patienceS: Double = WRITE_PATIENCE_S, then: (TxnResult) -> Unit) {
+    fun txn(
+        txn: Txn,
+        urgency: Urgency,
+        patienceS: Double = WRITE_PATIENCE_S,
+        then: (TxnResult) -> Unit,
+    ) {
         val body =
             Json.write(
                 Json.obj {
@@ -114,13 +167,17 @@
 
     private fun encode(op: Op): JsonNode =
         when (op) {
-            is Op.Put ->
+            is Op.Put -> {
                 Json.obj {
                     put("set", op.key)
                     set<JsonNode>("value", op.value)
                     op.tether?.let { put("tether", it) }
                 }
-            is Op.Delete -> Json.obj { put("remove", op.key) }
+            }
+
+            is Op.Delete -> {
+                Json.obj { put("remove", op.key) }
+            }
         }
 
     private fun settle(outcome: Outcome): TxnResult {
@@ -129,30 +186,63 @@
         val answer = outcome as? Outcome.Answered ?: return TxnResult.Unknown
         val body = Json.parseOrNull(answer.body)
         return when {
-            answer.status == 200 && body != null && body.path("ledgerRev").isNumber -> TxnResult.Done(body.path("ledgerRev").asLong())
-            answer.status == 409 && body != null -> TxnResult.Conflict(body.path("failed").map { it.asText() })
-            answer.status == 429 || answer.status == 503 -> TxnResult.Refused
-            answer.status == 400 && body?.path("error")?.asText() == "no such lease" -> TxnResult.NoLease
+            answer.status == 200 && body != null && body.path("ledgerRev").isNumber -> {
+                TxnResult.Done(body.path("ledgerRev").asLong())
+            }
+
+            answer.status == 409 && body != null -> {
+                TxnResult.Conflict(body.path("failed").map { it.asText() })
+            }
+
+            answer.status == 429 || answer.status == 503 -> {
+                TxnResult.Refused
+            }
+
+            answer.status == 400 && body?.path("error")?.asText() == "no such lease" -> {
+                TxnResult.NoLease
+            }
+
             answer.status == 400 -> {
                 ctx.error("state service calls a transaction malformed: ${answer.body}")
                 TxnResult.Refused
             }
-            else -> TxnResult.Unknown
+
+            else -> {
+                TxnResult.Unknown
+            }
         }
     }
 
     /** Repeats [txn] until its outcome is known or [stillWanted] says no; each of our rows is written under a stamp that only one copy can match. */
-    fun ensure(txn: Txn, urgency: Urgency, stillWanted: () -> Boolean, then: (TxnResult) -> Unit) {
+    fun ensure(
+        txn: Txn,
+        urgency: Urgency,
+        stillWanted: () -> Boolean,
+        then: (TxnResult) -> Unit,
+    ) {
         txn(txn, urgency, PATIENT_S) { result ->
             when {
-                !stillWanted() -> Unit
-                result is TxnResult.Refused || result is TxnResult.Unknown -> ctx.later(RETRY_S) { if (stillWanted()) ensure(txn, urgency, stillWanted, then) }
-                else -> then(result)
+                !stillWanted() -> {
+                    Unit
+                }
+
+                result is TxnResult.Refused || result is TxnResult.Unknown -> {
+                    ctx.later(RETRY_S) {
+                        if (stillWanted()) ensure(txn, urgency, stillWanted, then)
+                    }
+                }
+
+                else -> {
+                    then(result)
+                }
             }
         }
     }
 
-    fun createLease(ttlMs: Long, then: (Long?) -> Unit) {
+    fun createLease(
+        ttlMs: Long,
+        then: (Long?) -> Unit,
+    ) {
         enqueue(Urgency.LEADERSHIP, 0, READ_PATIENCE_S, { then(null) }) {
             call("POST", "/leases", "{\"ttlMs\":$ttlMs}", CALL_TIMEOUT_S) { status, body ->
                 then(if (status == 200) body?.path("tether")?.takeIf { it.isNumber }?.asLong() else null)
@@ -161,7 +251,11 @@
     }
 
     /** Calls back with 200, 404 or null where nothing is known. */
-    fun renewLease(tether: Long, timeoutS: Double, then: (Int?) -> Unit) {
+    fun renewLease(
+        tether: Long,
+        timeoutS: Double,
+        then: (Int?) -> Unit,
+    ) {
         call("POST", "/leases/$tether/renew", "", timeoutS) { status, _ -> then(status.takeIf { it == 200 || it == 404 }) }
     }
 
@@ -169,14 +263,25 @@
         call("DELETE", "/leases/$tether", null, CALL_TIMEOUT_S) { _, _ -> }
     }
 
-    fun follow(prefix: String, from: Long, blockS: Double, then: (Int, JsonNode?) -> Unit) {
+    fun follow(
+        prefix: String,
+        from: Long,
+        blockS: Double,
+        then: (Int, JsonNode?) -> Unit,
+    ) {
         enqueue(Urgency.CLAIM, 0, READ_PATIENCE_S, { then(0, null) }) {
             val path = "/follow?starts=$prefix&from=$from&blockMs=${(blockS * 1000).toLong()}"
             call("GET", path, null, blockS + CALL_TIMEOUT_S, then)
         }
     }
 
-    private fun call(method: String, path: String, body: String?, timeoutS: Double, then: (Int, JsonNode?) -> Unit) {
+    private fun call(
+        method: String,
+        path: String,
+        body: String?,
+        timeoutS: Double,
+        then: (Int, JsonNode?) -> Unit,
+    ) {
         ctx.call(settings.state, method, path, body, timeoutS) { outcome ->
             note(outcome)
             if (outcome is Outcome.Answered) then(outcome.status, Json.parseOrNull(outcome.body)) else then(0, null)
@@ -194,7 +299,13 @@
         if (status == null || status == 503) lastRefusedAt = ctx.now else lastServedAt = ctx.now
     }
 
-    private fun enqueue(urgency: Urgency, writes: Int, patienceS: Double, drop: () -> Unit, send: () -> Unit) {
+    private fun enqueue(
+        urgency: Urgency,
+        writes: Int,
+        patienceS: Double,
+        drop: () -> Unit,
+        send: () -> Unit,
+    ) {
         queues.getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop))
         pump()
     }
--- a/src/main/kotlin/burlridge/store/WriteBudget.kt
+++ b/src/main/kotlin/burlridge/store/WriteBudget.kt
@@ -1,10 +1,16 @@
 package burlridge.store
 
 /** A bucket of permits that refills at [rate] a second and holds one second's worth. */
-internal class Bucket(private var rate: Double, private var level: Double = rate) {
+internal class Bucket(
+    private var rate: Double,
+    private var level: Double = rate,
+) {
     private var at = 0.0
 
-    fun refill(now: Double, newRate: Double = rate) {
+    fun refill(
+        now: Double,
+        newRate: Double = rate,
+    ) {
         rate = newRate
         level = minOf(maxOf(rate, 1.0), level + (now - at) * rate)
         at = now
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -3,12 +3,20 @@
 import burlridge.app.Endpoint
 
 /** A task as a worker reports it. */
-internal data class Reported(val piece: String, val run: Int, val standing: String, val cause: String?, val kept: Boolean) {
+internal data class Reported(
+    val piece: String,
+    val run: Int,
+    val standing: String,
+    val cause: String?,
+    val kept: Boolean,
+) {
     val exited: Boolean get() = standing == "exited"
 }
 
 /** A machine as the leader knows it, from its worker's reports and from the cloud's list. */
-internal class Machine(val id: String) {
+internal class Machine(
+    val id: String,
+) {
     // From the cloud.
     var type: String = ""
     var zone: String = ""
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -13,7 +13,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode
 
 /** Reports in, commands out; says when a claimed task is known to be gone from its machine. */
-internal class Workers(private val ctx: Context, private val leadership: Leadership, private val ledger: Ledger, private val onChange: () -> Unit) {
+internal class Workers(
+    private val ctx: Context,
+    private val leadership: Leadership,
+    private val ledger: Ledger,
+    private val onChange: () -> Unit,
+) {
     private val times = ctx.settings.workers
     val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
     private var tokens = 0L
@@ -29,7 +34,10 @@
         tokens = 0
     }
 
-    private fun key(piece: String, run: Int): String = "$piece@$run"
+    private fun key(
+        piece: String,
+        run: Int,
+    ): String = "$piece@$run"
 
     /** A task that a worker runs without a claim of ours; it is halted, and until then blocks any other start of it. */
     fun isReturned(id: String): Boolean = id in returned
@@ -79,7 +87,10 @@
     }
 
     /** Takes over what a report says; false when it is older than what is known. */
-    private fun take(machine: Machine, report: JsonNode): Boolean {
+    private fun take(
+        machine: Machine,
+        report: JsonNode,
+    ): Boolean {
         val session = report.path("stint").asLong()
         val tally = report.path("tally").asLong()
         if (session < machine.session || (session == machine.session && tally <= machine.tally)) return false
@@ -120,7 +131,11 @@
     }
 
     fun reconcile(machine: Machine) {
-        val claims = ledger.byMachine[machine.id]?.values?.toList().orEmpty()
+        val claims =
+            ledger.byMachine[machine.id]
+                ?.values
+                ?.toList()
+                .orEmpty()
         for (claim in claims) {
             if (claim.session < machine.session) {
                 lose(claim, "its worker's session is over")
@@ -145,13 +160,20 @@
      * A report without the task proves something only if no start of it can still arrive: none is in flight, and the worker
      * has seen a token above every one under which a start's outcome is open.
      */
-    private fun knownAbsent(machine: Machine, claim: Claim): Boolean =
+    private fun knownAbsent(
+        machine: Machine,
+        claim: Claim,
+    ): Boolean =
         when (claim.phase) {
             Phase.CLAIMING, Phase.CLAIMED, Phase.ENDED -> false
             else -> !machine.commanding && machine.echoed > machine.openToken
         }
 
-    private fun seen(machine: Machine, claim: Claim, report: Reported) {
+    private fun seen(
+        machine: Machine,
+        claim: Claim,
+        report: Reported,
+    ) {
         val before = claim.phase
         claim.phase =
             when (report.standing) {
@@ -165,13 +187,20 @@
         }
     }
 
-    private fun remember(machine: Machine, image: String) {
+    private fun remember(
+        machine: Machine,
+        image: String,
+    ) {
         machine.images.remove(image)
         machine.images.add(image)
         if (machine.images.size > IMAGES_REMEMBERED) machine.images.remove(machine.images.first())
     }
 
-    private fun exited(machine: Machine, claim: Claim, report: Reported) {
+    private fun exited(
+        machine: Machine,
+        claim: Claim,
+        report: Reported,
+    ) {
         val job = ledger.jobs[claim.job]
         ledger.release(claim, lost = report.cause != "done")
         if (job == null) return
@@ -181,16 +210,23 @@
                 remember(machine, job.spec.image)
                 ledger.markDone(job, claim.task)
             }
-            "stopped" -> ctx.info("task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
+
+            "stopped" -> {
+                ctx.info("task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
+            }
+
             "error" -> {
                 job.failures++
                 machine.failures++
-                ctx.info("task ${claim.piece} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there")
+                ctx.info(
+                    "task ${claim.piece} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
+                )
                 job.notBefore.put(claim.task, ctx.now + minOf(times.reportS * job.failures, times.leaseS))
                 if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
                     machine.notBefore = ctx.now + times.leaseS
                 }
             }
+
             else -> {
                 ctx.info("start of ${claim.piece} refused by ${machine.id}: ${report.cause}")
                 job.notBefore.put(claim.task, ctx.now + times.reportS / 3)
@@ -199,19 +235,36 @@
         }
     }
 
-    private fun lose(claim: Claim, reason: String) {
+    private fun lose(
+        claim: Claim,
+        reason: String,
+    ) {
         ctx.info("task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
         ledger.release(claim, lost = true)
         onChange()
     }
 
-    private fun loseAll(machine: Machine, reason: String, below: Long = Long.MAX_VALUE) {
-        ledger.byMachine[machine.id]?.values?.toList().orEmpty().filter { it.session < below }.forEach { lose(it, reason) }
+    private fun loseAll(
+        machine: Machine,
+        reason: String,
+        below: Long = Long.MAX_VALUE,
+    ) {
+        ledger.byMachine[machine.id]
+            ?.values
+            ?.toList()
+            .orEmpty()
+            .filter { it.session < below }
+            .forEach { lose(it, reason) }
     }
 
     // --- commands
 
-    private fun order(verb: String, piece: String, run: Int, graceS: Double? = null): JsonNode =
+    private fun order(
+        verb: String,
+        piece: String,
+        run: Int,
+        graceS: Double? = null,
+    ): JsonNode =
         Json.obj {
             put("verb", verb)
             put("piece", piece)
@@ -220,21 +273,31 @@
         }
 
     /** Every task that has no business on [machine] any more is halted, and again until it is gone. */
-    private fun halts(machine: Machine, orders: ArrayNode) {
+    private fun halts(
+        machine: Machine,
+        orders: ArrayNode,
+    ) {
         for (report in machine.reported.values) {
             if (report.exited) continue
             val claim = ledger.byMachine[machine.id]?.get(report.piece)?.takeIf { it.run == report.run }
             val job = report.piece.substringBefore('/')
             when {
-                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == burlridge.intent.Standing.WITHDRAWN ->
+                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == burlridge.intent.Standing.WITHDRAWN -> {
                     orders.add(order("halt", report.piece, report.run, 0.0))
-                claim.stopGraceS != null && report.standing != "saving" -> orders.add(order("halt", report.piece, report.run, claim.stopGraceS))
+                }
+
+                claim.stopGraceS != null && report.standing != "saving" -> {
+                    orders.add(order("halt", report.piece, report.run, claim.stopGraceS))
+                }
             }
         }
     }
 
     /** An exited task is forgotten once its end is durable, and only while no start of it can still be on its way. */
-    private fun reaps(machine: Machine, orders: ArrayNode) {
+    private fun reaps(
+        machine: Machine,
+        orders: ArrayNode,
+    ) {
         if (machine.commanding || machine.echoed <= machine.openToken) return
         for (report in machine.reported.values) {
             if (!report.exited) continue
@@ -256,8 +319,16 @@
         if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
         if (!leadership.standing) return
         val orders = Json.arr()
-        val starts = ledger.byMachine[machine.id]?.values?.filter { it.phase == Phase.CLAIMED && it.session == machine.session }.orEmpty()
-        val stops = ledger.byMachine[machine.id]?.values?.filter { wantsStop(it) }.orEmpty()
+        val starts =
+            ledger.byMachine[machine.id]
+                ?.values
+                ?.filter { it.phase == Phase.CLAIMED && it.session == machine.session }
+                .orEmpty()
+        val stops =
+            ledger.byMachine[machine.id]
+                ?.values
+                ?.filter { wantsStop(it) }
+                .orEmpty()
         val fencing = machine.echoed <= machine.openToken && ledger.byMachine[machine.id]?.values?.any { it.phase == Phase.SENT } == true
         if (starts.isEmpty() && stops.isEmpty() && !fencing) return
         stops.forEach {
@@ -277,7 +348,12 @@
         return claim.stopGraceS != null || ledger.jobs[claim.job] == null
     }
 
-    private fun send(machine: Machine, address: Endpoint, orders: ArrayNode, starts: List<Claim>) {
+    private fun send(
+        machine: Machine,
+        address: Endpoint,
+        orders: ArrayNode,
+        starts: List<Claim>,
+    ) {
         machine.commanding = true
         val token = machine.token
         val session = machine.session
@@ -306,10 +382,12 @@
                     if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
                     onChange()
                 }
+
                 outcome is Outcome.NotSent || answer?.status == 400 -> {
                     unsend(starts)
                     retryLater(machine)
                 }
+
                 else -> {
                     // Possibly executed, or held back to be executed later: only a higher token seen by the worker settles it.
                     ctx.info("command to ${machine.id} has an unknown outcome; fencing it")
@@ -343,7 +421,12 @@
 
     /** A claim that never left and whose machine has gone quiet is taken back and placed elsewhere. */
     private fun withdrawUnsent(machine: Machine) {
-        ledger.byMachine[machine.id]?.values?.filter { it.phase == Phase.CLAIMED }?.toList()?.forEach { lose(it, "never sent, and its machine is silent") }
+        ledger.byMachine[machine.id]
+            ?.values
+            ?.filter {
+                it.phase == Phase.CLAIMED
+            }?.toList()
+            ?.forEach { lose(it, "never sent, and its machine is silent") }
     }
 
     /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
@@ -372,7 +455,10 @@
     }
 
     /** The cloud says that the machine is gone, with everything on it. */
-    fun gone(machine: Machine, reason: String) {
+    fun gone(
+        machine: Machine,
+        reason: String,
+    ) {
         ctx.info("machine ${machine.id} is gone: $reason")
         returned += machine.id
         machines.remove(machine.id)
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/CloudService.kt
@@ -0,0 +1,132 @@
+package burlridge.sim
+
+import burlridge.app.Json
+import com.fasterxml.jackson.databind.JsonNode
+
+/** A stand-in for the cloud: lists lag and may go backwards, rentals are remembered by name. */
+internal class CloudService(
+    private val world: World,
+) {
+    private class Rented(
+        val worker: Worker,
+        val at: Double,
+        var up: Boolean = false,
+    )
+
+    private val machines = LinkedHashMap<String, Rented>()
+    private val answers = HashMap<String, String>()
+    private val snapshots = ArrayList<Pair<Double, String>>()
+    private var next = 1
+    var down = false
+    var silentBoots = false
+    var requests = ArrayList<String>()
+
+    fun worker(id: String): Worker? = machines[id]?.worker
+
+    fun workerAt(address: String): Worker? = machines.values.firstOrNull { it.worker.address == address }?.worker
+
+    fun names(): List<String> = machines.keys.toList()
+
+    fun handle(
+        target: String,
+        body: String,
+        reply: (Int, String) -> Unit,
+    ) {
+        if (down) return reply(503, "{\"error\":\"trouble\"}")
+        when {
+            target == "/catalog" -> {
+                reply(200, catalog())
+            }
+
+            target == "/rentals" -> {
+                rent(Json.parse(body), reply)
+            }
+
+            target == "/rentals/return" -> {
+                Json.parse(body).path("drovers").forEach { take(it.asText()) }
+                reply(200, "{}")
+            }
+
+            target.startsWith("/rentals?") -> {
+                reply(200, list())
+            }
+
+            else -> {
+                reply(400, "{}")
+            }
+        }
+    }
+
+    private fun catalog(): String =
+        Json
+            .obj {
+                val list = putArray("breeds")
+                world.types.forEach { (name, type) ->
+                    list
+                        .addObject()
+                        .put("sku", name)
+                        .put("vcpus", type.cpus)
+                        .put("gpus", 0.0)
+                        .put("ramGb", type.memoryGb)
+                        .put("price", type.cpus)
+                        .put("spotPrice", type.cpus / 3)
+                        .put("bootS", 10.0)
+                        .put("pullGbPerS", 1.0)
+                        .also { o -> o.putArray("yards").also { yards -> world.zones.forEach(yards::add) } }
+                }
+            }.toString()
+
+    private fun rent(
+        request: JsonNode,
+        reply: (Int, String) -> Unit,
+    ) {
+        val name = request.path("hire").asText()
+        requests += request.toString()
+        answers[name]?.let { return reply(200, it) }
+        val type = request.path("breed").asText()
+        val zone = request.path("yard").asText()
+        val spot = request.path("loaners").asBoolean()
+        val taken = machines.values.count { it.worker.type == type && it.worker.zone == zone && it.worker.spot == spot }
+        val count = minOf(request.path("number").asInt(), world.types.getValue(type).capacity - taken)
+        if (count <= 0) return reply(503, "{\"error\":\"no capacity\"}")
+        val names = (1..count).map { add(type, zone, spot) }
+        val answer = "{\"drovers\":[${names.joinToString(",") { "\"$it\"" }}]}"
+        answers[name] = answer
+        reply(200, answer)
+    }
+
+    private fun add(
+        type: String,
+        zone: String,
+        spot: Boolean,
+    ): String {
+        val id = "m-%06d".format(next)
+        val rented = Rented(Worker(world, id, type, zone, spot, "10.1.0.${next++}:9000"), world.clock.now)
+        machines[id] = rented
+        if (!silentBoots) {
+            world.clock.after(5 + world.random.nextDouble() * 10) {
+                if (machines[id] === rented) {
+                    rented.up = true
+                    rented.worker.boot()
+                }
+            }
+        }
+        return id
+    }
+
+    fun take(id: String) {
+        machines.remove(id)?.worker?.kill()
+    }
+
+    private fun list(): String {
+        val now = world.clock.now
+        val entries =
+            machines.entries.joinToString(",") { (id, m) ->
+                "{\"id\":\"$id\",\"addr\":\"${m.worker.address}\",\"breed\":\"${m.worker.type}\",\"yard\":\"${m.worker.zone}\"," +
+                    "\"loaners\":${m.worker.spot},\"standing\":\"${if (m.up) "running" else "starting"}\",\"ageS\":${now - m.at}}"
+            }
+        snapshots += now to "{\"drovers\":[$entries],\"truncated\":false}"
+        val lag = world.random.nextDouble() * 6
+        return snapshots.lastOrNull { it.first <= now - lag }?.second ?: "{\"drovers\":[],\"truncated\":false}"
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -0,0 +1,156 @@
+package burlridge.sim
+
+import burlridge.intake.JobSpec
+import burlridge.intake.Size
+
+/** Every rule of the protocol, checked against what really happened on the stand-ins. */
+internal class Rules(
+    private val clock: Clock,
+    private val cancelS: Double,
+    private val teamCpus: Map<String, Double>,
+) {
+    private class On(
+        val machine: Worker,
+    )
+
+    val broken = ArrayList<String>()
+    var starts = 0
+        private set
+    private val jobs = HashMap<String, JobSpec>()
+    private val accepted = HashSet<String>()
+    private val told = HashMap<String, String>()
+    private val cancelledAt = HashMap<String, Double>()
+    private val abortAsked = HashSet<String>()
+    private val completed = HashMap<String, HashSet<Int>>()
+    private val on = HashMap<String, ArrayList<On>>()
+
+    private fun breach(
+        rule: String,
+        what: String,
+    ) {
+        broken += "%s at %.3f: %s".format(rule, clock.now, what)
+    }
+
+    fun submitted(spec: JobSpec) {
+        jobs[spec.id] = spec
+    }
+
+    fun spec(job: String): JobSpec? = jobs[job]
+
+    fun answered(
+        job: String,
+        status: Int,
+        standing: String?,
+        submission: Boolean,
+    ) {
+        if (status == 200 && job !in jobs) breach("invented", job)
+        if (job in accepted && status == 404) breach("forgotten", "$job is answered 404")
+        if (job in accepted && submission && (status == 400 || status == 422)) breach("forgotten", "repeat of $job is answered $status")
+        if (status == 200 || status == 201) {
+            accepted += job
+            if (standing != null) heard(job, standing)
+        }
+    }
+
+    private fun heard(
+        job: String,
+        standing: String,
+    ) {
+        val before = told[job]
+        if (before != null && before != standing) breach("went_back", "$job was $before, now $standing")
+        when (standing) {
+            "done" -> {
+                if ((completed[job]?.size ?: 0) <
+                    (jobs[job]?.tasks ?: 0)
+                ) {
+                    breach("not_done", "$job has ${completed[job]?.size ?: 0} tasks done")
+                }
+                told[job] = standing
+            }
+
+            "withdrawn" -> {
+                if (job !in abortAsked) breach("went_back", "$job is cancelled without its user's wish")
+                told[job] = standing
+                cancelledAt.putIfAbsent(job, clock.now)
+            }
+        }
+    }
+
+    fun askedToAbort(job: String) {
+        abortAsked += job
+    }
+
+    fun finished(job: String): Boolean = told[job] != null
+
+    fun started(
+        piece: String,
+        worker: Worker,
+    ) {
+        starts++
+        val job = piece.substringBefore('/')
+        val spec = jobs[job] ?: return breach("wrong_place", "$piece belongs to no job")
+        val others = on.values.flatten()
+        on[piece]?.firstOrNull()?.let { breach("ran_twice", "$piece starts on ${worker.id} while on ${it.machine.id}") }
+        if (spec.types != null && worker.type !in spec.types) breach("wrong_place", "$piece on type ${worker.type}")
+        if (spec.zone != null && worker.zone != spec.zone) breach("wrong_place", "$piece in zone ${worker.zone}")
+        if (worker.spot && !spec.spot) breach("wrong_place", "$piece on a spot machine")
+        val siblings =
+            on
+                .filterKeys { it.substringBefore('/') == job }
+                .values
+                .flatten()
+                .map { it.machine.zone }
+        if (spec.oneZone && siblings.any { it != worker.zone }) breach("wrong_place", "$piece apart from its job's other tasks")
+        if (spec.spread &&
+            siblings.count { it == worker.zone } + 1 > (spec.tasks + 1) / 2
+        ) {
+            breach("wrong_place", "$piece crowds ${worker.zone}")
+        }
+        on.getOrPut(piece) { ArrayList() } += On(worker)
+        val limit = teamCpus[spec.team] ?: 0.0
+        if (limit > 0 &&
+            teamUse(spec.team).cpus > limit + 1e-6
+        ) {
+            breach("quota", "${spec.team} uses ${teamUse(spec.team).cpus} with ${others.size + 1} tasks")
+        }
+        cancelledAt[job]?.let {
+            if (clock.now >
+                it + cancelS
+            ) {
+                breach("ran_cancelled", "$piece starts ${clock.now - it} s after its cancellation")
+            }
+        }
+    }
+
+    private fun teamUse(team: String): Size =
+        on.entries.fold(Size.NONE) { sum, (piece, machines) ->
+            val spec = jobs[piece.substringBefore('/')]?.takeIf { it.team == team }
+            if (spec == null) sum else machines.fold(sum) { s, _ -> s + spec.size }
+        }
+
+    fun ended(
+        piece: String,
+        worker: Worker,
+        done: Boolean,
+    ) {
+        on[piece]?.let { list ->
+            list.removeIf { it.machine === worker }
+            if (list.isEmpty()) on.remove(piece)
+        }
+        if (done) completed.getOrPut(piece.substringBefore('/')) { HashSet() } += piece.substringAfter('/').toInt()
+    }
+
+    fun hasCompleted(piece: String): Boolean = completed[piece.substringBefore('/')]?.contains(piece.substringAfter('/').toInt()) == true
+
+    /** Called now and then: tasks of cancelled jobs must be gone in time. */
+    fun sweep() {
+        for ((piece, machines) in on) {
+            val at = cancelledAt[piece.substringBefore('/')] ?: continue
+            if (clock.now > at + cancelS &&
+                machines.isNotEmpty()
+            ) {
+                breach("ran_cancelled", "$piece is on ${machines[0].machine.id} ${clock.now - at} s after")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -0,0 +1,225 @@
+package burlridge.sim
+
+import burlridge.app.Json
+import com.fasterxml.jackson.databind.JsonNode
+import java.util.TreeMap
+
+/** A stand-in for the state service, as its protocol describes it. */
+internal class StateService(
+    private val clock: Clock,
+) {
+    private class Entry(
+        val value: JsonNode,
+        val stamp: Long,
+        val tether: Long?,
+    )
+
+    private class Change(
+        val revision: Long,
+        val key: String,
+        val value: JsonNode?,
+    )
+
+    private class Watch(
+        val prefix: String,
+        val from: Long,
+        val reply: (Int, String) -> Unit,
+        var open: Boolean = true,
+    )
+
+    private val rows = TreeMap<String, Entry>()
+    private val leases = HashMap<Long, Pair<Double, Double>>()
+    private val changes = ArrayList<Change>()
+    private val watches = ArrayList<Watch>()
+    private var revision = 0L
+    private var nextLease = 1L
+    var down = false
+        private set
+    var writes = 0
+        private set
+
+    fun outage(seconds: Double) {
+        down = true
+        clock.after(seconds) {
+            down = false
+            leases.replaceAll { _, (ttl, _) -> ttl to clock.now + ttl }
+        }
+    }
+
+    fun keys(prefix: String): List<String> = rows.keys.filter { it.startsWith(prefix) }
+
+    fun handle(
+        method: String,
+        target: String,
+        body: String,
+        reply: (Int, String) -> Unit,
+    ) {
+        if (down) return reply(503, "{}")
+        expire()
+        val path = target.substringBefore('?')
+        val query =
+            target.substringAfter('?', "").split('&').filter { it.contains('=') }.associate {
+                it.substringBefore('=') to it.substringAfter('=')
+            }
+        when {
+            method == "GET" && path == "/store" -> {
+                list(query, reply)
+            }
+
+            method == "GET" && path.startsWith("/store/") -> {
+                get(path.removePrefix("/store/"), reply)
+            }
+
+            path == "/multi" -> {
+                multi(Json.parse(body), reply)
+            }
+
+            method == "POST" && path == "/leases" -> {
+                lease(Json.parse(body).path("ttlMs").asLong() / 1000.0, reply)
+            }
+
+            path.endsWith("/renew") -> {
+                renew(path.split('/')[2].toLong(), reply)
+            }
+
+            method == "DELETE" -> {
+                drop(path.split('/')[2].toLong())
+                reply(200, "{}")
+            }
+
+            path == "/follow" -> {
+                follow(query, reply)
+            }
+
+            else -> {
+                reply(400, "{}")
+            }
+        }
+    }
+
+    private fun get(
+        key: String,
+        reply: (Int, String) -> Unit,
+    ) {
+        val entry = rows[key] ?: return reply(404, "{\"ledgerRev\":$revision}")
+        reply(200, "{\"key\":\"$key\",\"value\":${entry.value},\"stamp\":${entry.stamp}}")
+    }
+
+    private fun list(
+        query: Map<String, String>,
+        reply: (Int, String) -> Unit,
+    ) {
+        val prefix = query["starts"].orEmpty()
+        val limit = query["limit"]?.toInt() ?: 1000
+        val found = rows.filter { it.key.startsWith(prefix) && it.key > query["from"].orEmpty() }.entries
+        val page = found.take(limit).joinToString(",") { "{\"key\":\"${it.key}\",\"value\":${it.value.value},\"stamp\":${it.value.stamp}}" }
+        reply(200, "{\"pairs\":[$page],\"truncated\":${found.size > limit},\"ledgerRev\":$revision}")
+    }
+
+    private fun multi(
+        txn: JsonNode,
+        reply: (Int, String) -> Unit,
+    ) {
+        val ops = txn.path("then").toList()
+        check(ops.size <= 8) { "too many changes in a transaction: ${ops.size}" }
+        check(txn.toString().length <= 64 * 1024) { "transaction too large" }
+        ops.forEach { check(it.path("value").toString().length <= 8 * 1024) { "value too large" } }
+        writes += ops.size
+        if (ops.any { it.has("tether") && it.path("tether").asLong() !in leases }) return reply(400, "{\"error\":\"no such lease\"}")
+        val failed =
+            txn
+                .path("if")
+                .filter { (rows[it.path("key").asText()]?.stamp ?: 0L) != it.path("stamp").asLong() }
+                .map { it.path("key").asText() }
+        if (failed.isNotEmpty()) {
+            return reply(409, "{\"failed\":[${failed.joinToString(",") { "\"$it\"" }}],\"ledgerRev\":$revision}")
+        }
+        if (ops.isNotEmpty()) revision++
+        ops.forEach { op ->
+            if (op.has("set")) {
+                val key = op.path("set").asText()
+                rows[key] = Entry(op.path("value"), revision, if (op.has("tether")) op.path("tether").asLong() else null)
+                changes += Change(revision, key, op.path("value"))
+            } else {
+                val key = op.path("remove").asText()
+                if (rows.remove(key) != null) changes += Change(revision, key, null)
+            }
+        }
+        reply(200, "{\"ledgerRev\":$revision}")
+        notifyWatches()
+    }
+
+    private fun lease(
+        ttl: Double,
+        reply: (Int, String) -> Unit,
+    ) {
+        val id = nextLease++
+        leases[id] = ttl to clock.now + ttl
+        wake(ttl)
+        reply(200, "{\"tether\":$id}")
+    }
+
+    private fun renew(
+        id: Long,
+        reply: (Int, String) -> Unit,
+    ) {
+        val (ttl, _) = leases[id] ?: return reply(404, "{}")
+        leases[id] = ttl to clock.now + ttl
+        wake(ttl)
+        reply(200, "{}")
+    }
+
+    private fun wake(ttl: Double) {
+        clock.after(ttl + 0.01) { if (!down) expire() }
+    }
+
+    private fun expire() {
+        leases
+            .filterValues { it.second < clock.now }
+            .keys
+            .toList()
+            .forEach { drop(it) }
+    }
+
+    private fun drop(id: Long) {
+        leases.remove(id) ?: return
+        val keys = rows.filterValues { it.tether == id }.keys.toList()
+        if (keys.isEmpty()) return
+        revision++
+        keys.forEach {
+            rows.remove(it)
+            changes += Change(revision, it, null)
+        }
+        notifyWatches()
+    }
+
+    private fun follow(
+        query: Map<String, String>,
+        reply: (Int, String) -> Unit,
+    ) {
+        val watch = Watch(query["starts"].orEmpty(), query["from"]?.toLong() ?: 0L, reply)
+        watches += watch
+        clock.after((query["blockMs"]?.toDouble() ?: 0.0) / 1000) { if (watch.open) finish(watch) }
+        notifyWatches()
+    }
+
+    private fun notifyWatches() {
+        watches.filter { w -> changes.any { it.revision > w.from && it.key.startsWith(w.prefix) } }.forEach { finish(it) }
+    }
+
+    private fun finish(watch: Watch) {
+        watch.open = false
+        watches.remove(watch)
+        val events =
+            changes
+                .filter { it.revision > watch.from && it.key.startsWith(watch.prefix) }
+                .joinToString(",") {
+                    if (it.value == null) {
+                        "{\"remove\":\"${it.key}\",\"stamp\":${it.revision}}"
+                    } else {
+                        "{\"set\":\"${it.key}\",\"value\":${it.value},\"stamp\":${it.revision}}"
+                    }
+                }
+        watch.reply(200, "{\"ledgerRev\":$revision,\"events\":[$events]}")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/WholeServiceTest.kt
@@ -0,0 +1,90 @@
+package burlridge.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import kotlin.random.Random
+
+/** The whole service in virtual time. Every test ends by asking the checker of rules. */
+internal class WholeServiceTest {
+    private fun World.load(jobs: Int): List<String> {
+        val names = ArrayList<String>()
+        repeat(jobs) { i ->
+            val spec =
+                when (i % 5) {
+                    0 -> job(i, 4, cpus = 2.0, team = "crew-x")
+                    1 -> job(i, 3, oneZone = true, runS = 15.0)
+                    2 -> job(i, 5, spread = true, runS = 5.0)
+                    3 -> job(i, 2, cpus = 8.0, lane = "bulk", runS = 30.0, spot = false)
+                    else -> job(i, 6, cpus = 1.0, zone = "b", runS = 8.0, team = "crew-x")
+                }
+            names += spec.id
+            clock.after(5 + i * 2.0) { submit(spec, abortAfter = if (i % 7 == 6) 10.0 else null) }
+        }
+        return names
+    }
+
+    private fun World.verdict(jobs: List<String>) {
+        assertEquals(emptyList<String>(), rules.broken)
+        assertTrue(rules.starts > 0, "nothing ran")
+        assertEquals(emptyList<String>(), jobs.filterNot { rules.finished(it) }, "jobs never over")
+    }
+
+    @Test
+    fun `a quiet day finishes every job`() {
+        val world = World(1)
+        val jobs = world.load(30)
+        world.run(240.0)
+        world.verdict(jobs)
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [11, 12, 13, 14, 15, 16, 17, 18])
+    fun `whatever fails, the rules hold and every job ends`(seed: Int) {
+        val world = World(seed)
+        val jobs = world.load(30)
+        val luck = Random(seed)
+        world.lossy = 0.02
+        repeat(10) {
+            world.clock.after(20 + luck.nextDouble() * 120) { world.trouble(luck) }
+        }
+        world.clock.after(170.0) { world.lossy = 0.0 }
+        world.run(400.0)
+        world.verdict(jobs)
+    }
+
+    private fun World.trouble(luck: Random) {
+        when (luck.nextInt(7)) {
+            0 -> {
+                leader()?.let { crash(it, luck.nextDouble() * 8) }
+            }
+
+            1 -> {
+                members.forEach { crash(it, 1 + luck.nextDouble() * 5) }
+            }
+
+            2 -> {
+                state.outage(luck.nextDouble() * 25)
+            }
+
+            3 -> {
+                leader()?.let { cut(it, "state", 10 + luck.nextDouble() * 20) }
+            }
+
+            4 -> {
+                cloud.names().take(3).forEach { cloud.take(it) }
+            }
+
+            5 -> {
+                cloud.names().takeLast(4).forEach { m -> members.forEach { cut(it, m, 5 + luck.nextDouble() * 40) } }
+            }
+
+            else -> {
+                cloud.down = true
+                clock.after(20.0) { cloud.down = false }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -0,0 +1,219 @@
+package burlridge.sim
+
+import burlridge.app.Json
+import com.fasterxml.jackson.databind.JsonNode
+
+/** A stand-in for a worker: reports, executes commands, keeps its lease. */
+internal class Worker(
+    private val world: World,
+    val id: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val address: String,
+) {
+    private class Task(
+        val piece: String,
+        val run: Int,
+        var standing: String,
+        var cause: String? = null,
+    )
+
+    private var session = 1L
+    private var tally = 0L
+    private var token = 0L
+    private val tasks = LinkedHashMap<String, Task>()
+    private var node = world.random.nextInt(world.members.size)
+    private var answeredSentAt = world.clock.now
+    private var alive = true
+    private var inFlight = false
+    private var changed = false
+
+    fun boot() {
+        beat()
+        watchLease()
+    }
+
+    fun kill() {
+        alive = false
+        tasks.values.forEach { leave(it, false) }
+        tasks.clear()
+    }
+
+    private fun watchLease() {
+        world.clock.after(0.1) {
+            if (alive) {
+                if (world.clock.now > answeredSentAt + world.leaseS) {
+                    tasks.values.forEach { leave(it, false) }
+                    tasks.clear()
+                    session++
+                    answeredSentAt = world.clock.now
+                }
+                watchLease()
+            }
+        }
+    }
+
+    private fun leave(
+        task: Task,
+        done: Boolean,
+    ) {
+        if (task.standing == "running") world.rules.ended(task.piece, this, done)
+    }
+
+    private fun report(): JsonNode =
+        Json.obj {
+            put("drover", id)
+            put("addr", address)
+            put("breed", type)
+            put("yard", zone)
+            put("loaners", spot)
+            put("stint", session)
+            put("tally", ++tally)
+            put("baton", token)
+            val list = putArray("pieces")
+            tasks.values.forEach { t ->
+                list.addObject().put("piece", t.piece).put("try", t.run).put("standing", t.standing).also { o ->
+                    t.cause?.let { o.put("cause", it) }
+                }
+            }
+        }
+
+    private fun beat() {
+        if (!alive || inFlight) return
+        inFlight = true
+        changed = false
+        val sentAt = world.clock.now
+        val sentSession = session
+        val name = world.members[node]
+        world.request(id, name, "POST", "/agent/beat", report().toString(), 4.0) { status, body ->
+            inFlight = false
+            if (!alive) return@request
+            val answer = Json.parseOrNull(body)
+            when (status) {
+                200 -> {
+                    if (sentSession == session && answer != null && answer.path("baton").asLong(-1) >= token) {
+                        token = answer.path("baton").asLong()
+                        answeredSentAt = sentAt
+                        answer.path("orders").forEach { execute(it) }
+                    }
+                    nextBeat()
+                }
+
+                421 -> {
+                    val herder = world.members.indexOf(answer?.path("herder")?.asText(""))
+                    val known = herder >= 0 && herder != node
+                    node = if (known) herder else (node + 1) % world.members.size
+                    world.clock.after(if (known) world.random.nextDouble() * 0.5 else 1.0) { beat() }
+                }
+
+                else -> {
+                    node = (node + 1) % world.members.size
+                    world.clock.after(1.0) { beat() }
+                }
+            }
+        }
+    }
+
+    private fun nextBeat() {
+        val at = world.clock.now + world.reportS * (0.75 + world.random.nextDouble() * 0.5)
+
+        fun wait() {
+            world.clock.after(0.5) {
+                if (alive && !inFlight) {
+                    if (changed || world.clock.now >= at) {
+                        beat()
+                    } else {
+                        wait()
+                    }
+                }
+            }
+        }
+        wait()
+    }
+
+    fun handle(
+        path: String,
+        body: String,
+    ): Pair<Int, String>? {
+        if (!alive) return null
+        if (path == "/inspect") return 200 to report().toString()
+        val command = Json.parse(body)
+        if (!command.has("baton") || !command.has("stint")) return 400 to "{}"
+        if (command.path("baton").asLong() < token || command.path("stint").asLong() != session) return 409 to report().toString()
+        token = command.path("baton").asLong()
+        command.path("orders").forEach { execute(it) }
+        return 200 to report().toString()
+    }
+
+    private fun execute(order: JsonNode) {
+        val piece = order.path("piece").asText()
+        val run = order.path("try").asInt()
+        val key = "$piece@$run"
+        when (order.path("verb").asText()) {
+            "run" -> {
+                if (key !in tasks) start(key, piece, run)
+            }
+
+            "halt" -> {
+                tasks[key]?.takeIf { it.standing != "exited" }?.let {
+                    leave(it, false)
+                    exit(it, "stopped")
+                }
+            }
+
+            "reap" -> {
+                tasks[key]?.takeIf { it.standing == "exited" }?.let { tasks.remove(key) }
+            }
+        }
+    }
+
+    private fun exit(
+        task: Task,
+        cause: String,
+    ) {
+        task.standing = "exited"
+        task.cause = cause
+        changed = true
+    }
+
+    private fun start(
+        key: String,
+        piece: String,
+        run: Int,
+    ) {
+        val task = Task(piece, run, "fetching")
+        tasks[key] = task
+        val spec = world.rules.spec(piece.substringBefore('/'))
+        if (spec == null) return exit(task, "unknown")
+        if (tasks.values.any { it !== task && it.piece == piece && it.standing != "exited" }) return exit(task, "in_use")
+        val active = tasks.values.filter { it.standing != "exited" }
+        val cpus =
+            active.sumOf {
+                world.rules
+                    .spec(it.piece.substringBefore('/'))
+                    ?.size
+                    ?.cpus ?: 0.0
+            }
+        if (cpus > world.types.getValue(type).cpus + 1e-6) return exit(task, "full")
+        world.clock.after(world.random.nextDouble() * 2) { fetched(key, task, spec.estimateS) }
+    }
+
+    private fun fetched(
+        key: String,
+        task: Task,
+        runS: Double,
+    ) {
+        if (!alive || tasks[key] !== task || task.standing != "fetching") return
+        world.rules.started(task.piece, this)
+        task.standing = "running"
+        changed = true
+        val need = if (world.rules.hasCompleted(task.piece)) 0.0 else runS
+        world.clock.after(need) {
+            if (alive && tasks[key] === task && task.standing == "running") {
+                leave(task, true)
+                exit(task, "done")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -0,0 +1,314 @@
+package burlridge.sim
+
+import burlridge.app.Controller
+import burlridge.app.Effect
+import burlridge.app.Endpoint
+import burlridge.app.Input
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.app.Settings
+import burlridge.intake.JobSpec
+import burlridge.intake.Priority
+import burlridge.intake.Size
+import kotlin.random.Random
+
+internal data class TypeSpec(
+    val cpus: Double,
+    val memoryGb: Double,
+    val capacity: Int,
+)
+
+/** A whole service in virtual time: real controllers, stand-ins for everything else, and faults on the links between them. */
+internal class World(
+    seed: Int,
+    val members: List<String> = listOf("drover-0", "drover-1", "drover-2"),
+    private val waitAim: Double = 10.0,
+) {
+    val clock = Clock()
+    val random = Random(seed)
+    val reportS = 3.0
+    val leaseS = 24.0
+    val cancelS = 54.0
+    val zones = listOf("a", "b")
+    val types = mapOf("small" to TypeSpec(4.0, 16.0, 6), "big" to TypeSpec(16.0, 64.0, 3))
+    val rules = Rules(clock, cancelS, mapOf("crew-x" to 48.0, "crew-y" to 0.0))
+    val state = StateService(clock)
+    val cloud = CloudService(this)
+    val log = ArrayList<String>()
+    private val controllers = HashMap<String, Controller?>()
+    private val lives = HashMap<String, Int>()
+    private val openRequests = HashMap<Pair<String, Long>, (Int, String) -> Unit>()
+    private var nextRequest = 1L
+
+    /** Pairs of hosts that cannot reach each other, and until when. */
+    private val cuts = HashMap<Set<String>, Double>()
+
+    /** Share of calls whose request, or whose answer, is held back until long after the caller gave up. */
+    var lossy = 0.0
+    var lateS = 30.0
+
+    /** Called for each call before it is carried out; a test returns what is to become of it. */
+    var meddle: (from: String, effect: Effect.Call) -> Fate = { _, _ -> Fate.FINE }
+
+    enum class Fate { FINE, ANSWER_LOST, LATE, REFUSED }
+
+    init {
+        members.forEachIndexed { i, name -> clock.after(0.1 * i) { start(name) } }
+    }
+
+    private fun settings(name: String): Settings {
+        val others = members.filter { it != name }
+        return Settings.parse(
+            """{"member":"$name","zone":"a","serve_on":"10.0.0.${members.indexOf(name) + 1}:80","peer_bind":"10.0.0.1:81",
+            "others":[${others.joinToString(",") { "{\"member\":\"$it\",\"zone\":\"a\",\"endpoint\":\"10.0.0.9:1\"}" }}],
+            "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
+            "params":{"teams":[{"name":"crew-x","cpus":24,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
+            "objectives":[{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}],
+            "workers":{"report_s":$reportS,"lease_s":$leaseS,"cancel_s":$cancelS},
+            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8},"cloud":{"rps":8,"list_lag_s":3}}}""",
+        )
+    }
+
+    fun start(name: String) {
+        val life = lives.merge(name, 1, Int::plus) ?: 1
+        controllers[name] = Controller(settings(name), random.nextLong())
+        tick(name, life)
+    }
+
+    fun crash(
+        name: String,
+        backAfter: Double,
+    ) {
+        if (controllers[name] == null) return
+        controllers[name] = null
+        openRequests.keys.filter { it.first == name }.forEach { openRequests.remove(it)?.invoke(0, "") }
+        clock.after(backAfter) { if (controllers[name] == null) start(name) }
+    }
+
+    fun leader(): String? = members.firstOrNull { name -> controllers[name]?.leads == true }
+
+    private fun tick(
+        name: String,
+        life: Int,
+    ) {
+        if (lives[name] != life || controllers[name] == null) return
+        step(name, Input.Tick)
+        clock.after(0.1) { tick(name, life) }
+    }
+
+    fun cut(
+        a: String,
+        b: String,
+        seconds: Double,
+    ) {
+        cuts[setOf(a, b)] = clock.now + seconds
+    }
+
+    private fun isCut(
+        a: String,
+        b: String,
+    ): Boolean = (cuts[setOf(a, b)] ?: 0.0) > clock.now
+
+    private fun step(
+        name: String,
+        input: Input,
+    ) {
+        val controller = controllers[name] ?: return
+        controller.step(input, clock.now, (clock.now * 1000).toLong()).forEach { carryOut(name, it) }
+    }
+
+    private fun carryOut(
+        name: String,
+        effect: Effect,
+    ) {
+        when (effect) {
+            is Effect.Answer -> openRequests.remove(name to effect.id)?.invoke(effect.status, effect.body)
+            is Effect.Log -> log += "%8.3f %s %s".format(clock.now, name, effect.text)
+            is Effect.Send -> if (!isCut(name, effect.member)) clock.after(0.001) { step(effect.member, Input.FromPeer(effect.message)) }
+            is Effect.Call -> call(name, effect)
+        }
+    }
+
+    private fun host(target: Endpoint): String =
+        when (target.host) {
+            "10.2.0.1" -> "state"
+            "10.2.0.2" -> "cloud"
+            else -> cloud.workerAt(target.toString())?.id ?: "nobody"
+        }
+
+    private fun call(
+        name: String,
+        effect: Effect.Call,
+    ) {
+        val life = lives[name]
+        var settled = false
+
+        fun settle(outcome: Outcome) {
+            if (settled) return
+            settled = true
+            if (lives[name] == life) step(name, Input.CallDone(effect.call, outcome))
+        }
+        val host = host(effect.target)
+        val drawn =
+            when {
+                lossy > 0 && effect.path.startsWith("/follow").not() && random.nextDouble() < lossy -> {
+                    listOf(Fate.ANSWER_LOST, Fate.LATE, Fate.REFUSED).random(random)
+                }
+
+                else -> {
+                    meddle(name, effect)
+                }
+            }
+        val fate = if (host == "nobody") Fate.REFUSED else drawn
+        clock.after(effect.timeoutS) { settle(Outcome.Unknown) }
+        when {
+            isCut(name, host) && fate != Fate.LATE -> {
+                clock.after(1.0) { settle(Outcome.NotSent) }
+            }
+
+            fate == Fate.REFUSED -> {
+                clock.after(0.01) { settle(Outcome.NotSent) }
+            }
+
+            else -> {
+                clock.after(if (fate == Fate.LATE) random.nextDouble() * lateS else 0.003) {
+                    deliver(host, effect) { status, body ->
+                        if (fate == Fate.FINE && !isCut(name, host)) clock.after(0.003) { settle(Outcome.Answered(status, body)) }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun deliver(
+        host: String,
+        effect: Effect.Call,
+        reply: (Int, String) -> Unit,
+    ) {
+        when (host) {
+            "state" -> state.handle(effect.method, effect.path, effect.body.orEmpty(), reply)
+            "cloud" -> cloud.handle(effect.path, effect.body.orEmpty(), reply)
+            else -> cloud.worker(host)?.handle(effect.path, effect.body.orEmpty())?.let { reply(it.first, it.second) }
+        }
+    }
+
+    /** A request from outside to a controller; status 0 where no answer comes. */
+    fun request(
+        from: String,
+        name: String,
+        method: String,
+        path: String,
+        body: String,
+        timeoutS: Double,
+        then: (Int, String) -> Unit,
+    ) {
+        var settled = false
+
+        fun settle(
+            status: Int,
+            text: String,
+        ) {
+            if (settled) return
+            settled = true
+            then(status, text)
+        }
+        clock.after(timeoutS) { settle(0, "") }
+        if (isCut(from, name) || controllers[name] == null) return clock.after(0.5) { settle(0, "") }
+        val id = nextRequest++
+        openRequests[name to id] = { status, text -> clock.after(0.001) { if (!isCut(from, name)) settle(status, text) } }
+        step(name, Input.Request(id, method, path, "", body))
+    }
+
+    // --- users
+
+    fun job(
+        number: Int,
+        tasks: Int,
+        cpus: Double = 1.0,
+        runS: Double = 10.0,
+        team: String = "crew-y",
+        lane: String = "urgent",
+        spot: Boolean = true,
+        zone: String? = null,
+        oneZone: Boolean = false,
+        spread: Boolean = false,
+    ): JobSpec =
+        JobSpec(
+            "j-%06d".format(number),
+            lane,
+            team,
+            if (lane == "urgent") Priority.HIGH else Priority.NORMAL,
+            tasks,
+            Size(cpus, 0.0, cpus * 2),
+            "img-1",
+            1.0,
+            null,
+            zone,
+            oneZone,
+            spread,
+            spot,
+            runS,
+            0.0,
+            0.0,
+            null,
+        )
+
+    /** Submits until accepted, then polls until the job is over, and sometimes after. */
+    fun submit(
+        spec: JobSpec,
+        abortAfter: Double? = null,
+    ) {
+        rules.submitted(spec)
+        attempt(spec)
+        abortAfter?.let { clock.after(it) { abort(spec) } }
+    }
+
+    private fun anyMember(): String = members.filter { controllers[it] != null }.ifEmpty { members }.random(random)
+
+    private fun attempt(spec: JobSpec) {
+        request("user", anyMember(), "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, body ->
+            rules.answered(spec.id, status, standing(body), submission = true)
+            if (status == 200 || status == 201) poll(spec, 0) else clock.after(1.0) { attempt(spec) }
+        }
+    }
+
+    private fun poll(
+        spec: JobSpec,
+        afterEnd: Int,
+    ) {
+        clock.after(2.0 + random.nextDouble()) {
+            request("user", anyMember(), "GET", "/api/jobs/${spec.id}", "", 2.0) { status, body ->
+                rules.answered(spec.id, status, standing(body), submission = false)
+                val ended = if (rules.finished(spec.id)) afterEnd + 1 else 0
+                if (ended == 3) resubmit(spec) else poll(spec, ended)
+            }
+        }
+    }
+
+    private fun resubmit(spec: JobSpec) {
+        request("user", anyMember(), "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, body ->
+            rules.answered(spec.id, status, standing(body), submission = true)
+        }
+    }
+
+    private fun abort(spec: JobSpec) {
+        rules.askedToAbort(spec.id)
+        request("user", anyMember(), "POST", "/api/jobs/${spec.id}/abort", "", 5.0) { status, body ->
+            if (status == 200) rules.answered(spec.id, status, standing(body), submission = false) else clock.after(1.0) { abort(spec) }
+        }
+    }
+
+    private fun standing(body: String): String? =
+        Json
+            .parseOrNull(body)
+            ?.path("standing")
+            ?.takeIf { it.isTextual }
+            ?.asText()
+
+    fun run(until: Double) {
+        while (clock.now < until) {
+            clock.runUntil(minOf(until, clock.now + 1.0))
+            rules.sweep()
+        }
+    }
+}
