--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -334,7 +334,8 @@
     private fun discard(types: Catalog) {
         for (machine in workers.machines.values) {
             val boot = types.types[machine.type]?.bootS ?: continue
-            val overdue = !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
+            // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
+            val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
             if (overdue && !machine.leaving) {
                 ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
                 machine.leaving = true
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -75,6 +75,8 @@
     val run: Int,
     val machine: String,
     val session: Long,
+    /** Kept with the claim: a new leader must know it before the machine's first report, or spread and one-zone jobs go astray. */
+    val zone: String,
     val charge: Charge,
     var phase: Phase = Phase.CLAIMING,
 ) {
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -303,6 +303,7 @@
                     .add(it.machine)
                     .add(it.session)
                     .add(if (it.lost) 1 else 0)
+                    .add(it.zone)
             }
             put(
                 "fp",
@@ -329,6 +330,7 @@
                     s.path(2).asInt(),
                     s.path(3).asText(),
                     s.path(4).asLong(),
+                    s.path(6).asText(""),
                     charge,
                     Phase.SENT,
                 ).also {
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -53,7 +53,7 @@
     private fun usable(machine: Machine): Boolean =
         machine.up && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
             !workers.silent(machine) &&
-            machine.refusals == 0
+            ctx.now >= machine.nextCommandAt
 
     fun free(
         machine: Machine,
@@ -90,7 +90,7 @@
         val spec = job.spec
         val team = ctx.settings.teams[spec.team] ?: return
         val zones = HashMap<String, Int>()
-        job.claims.values.forEach { c -> zones.merge(workers.machines[c.machine]?.zone ?: "?", 1, Int::plus) }
+        job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
         val suitable = rooms.filter { allows(spec, it.machine) }
         if (suitable.isEmpty()) return
         var task = job.done.nextClearBit(0)
@@ -103,7 +103,15 @@
                 used[spec.team] = after
                 zones.merge(room.machine.zone, 1, Int::plus)
                 claims +=
-                    Claim(spec.id, task, job.lastRun.get(task) + 1, room.machine.id, room.machine.session, Charge(spec.team, spec.size))
+                    Claim(
+                        spec.id,
+                        task,
+                        job.lastRun.get(task) + 1,
+                        room.machine.id,
+                        room.machine.session,
+                        room.machine.zone,
+                        Charge(spec.team, spec.size),
+                    )
             }
             task = job.done.nextClearBit(task + 1)
         }
--- a/src/test/kotlin/burlridge/sim/WholeServiceTest.kt
+++ b/src/test/kotlin/burlridge/sim/WholeServiceTest.kt
@@ -3,8 +3,6 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.ValueSource
 import kotlin.random.Random
 
 /** The whole service in virtual time. Every test ends by asking the checker of rules. */
@@ -40,19 +38,29 @@
         world.verdict(jobs)
     }
 
-    @ParameterizedTest
-    @ValueSource(ints = [11, 12, 13, 14, 15, 16, 17, 18])
-    fun `whatever fails, the rules hold and every job ends`(seed: Int) {
-        val world = World(seed)
-        val jobs = world.load(30)
-        val luck = Random(seed)
-        world.lossy = 0.02
-        repeat(10) {
-            world.clock.after(20 + luck.nextDouble() * 120) { world.trouble(luck) }
+    /** More luck on demand: `mvn test -Dluck=300`. */
+    @Test
+    fun `whatever fails, the rules hold and every job ends`() {
+        val days = System.getProperty("luck")?.toInt() ?: 12
+        for (seed in (System.getProperty("from")?.toInt() ?: 1)..days) {
+            val world = World(seed)
+            val jobs = world.load(30)
+            val luck = Random(seed)
+            world.lossy = 0.02
+            repeat(10) {
+                world.clock.after(20 + luck.nextDouble() * 120) { world.trouble(luck) }
+            }
+            world.clock.after(170.0) { world.lossy = 0.0 }
+            world.run(400.0)
+            try {
+                world.verdict(jobs)
+            } catch (e: AssertionError) {
+                throw AssertionError(
+                    "seed $seed: ${e.message}\n${world.log.takeLast(System.getProperty("tail")?.toInt() ?: 60).joinToString("\n")}",
+                    e,
+                )
+            }
         }
-        world.clock.after(170.0) { world.lossy = 0.0 }
-        world.run(400.0)
-        world.verdict(jobs)
     }
 
     private fun World.trouble(luck: Random) {
