--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -42,6 +42,18 @@
     }
 }
 
+/** Run once by the build: what it loads goes into the class archive that makes a controller's start cheap. */
+private class Rehearse : CoreCliktCommand("rehearse") {
+    override val hiddenFromHelp: Boolean = true
+
+    override fun help(context: Context) = "Run a controller against itself on loopback for a moment."
+
+    override fun run() {
+        Service(Settings.parse(Rehearsal.settings())).rehearse()
+        exitProcess(0)
+    }
+}
+
 private fun read(config: String): Settings =
     try {
         Settings.parse(File(config).readText())
@@ -61,5 +73,5 @@
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showLogName", "false")
-    Burlridge().subcommands(Serve(), Check()).main(args)
+    Burlridge().subcommands(Serve(), Check(), Rehearse()).main(args)
 }
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -1,12 +1,15 @@
 package burlridge.app
 
 import burlridge.peer.PeerLinks
+import burlridge.peer.PeerMessage
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 import java.util.concurrent.Executors
 
@@ -35,6 +38,27 @@
         }
     }
 
+    /** A short life with itself as state service, cloud and worker, so that every path of I/O is walked once. */
+    fun rehearse() {
+        runBlocking {
+            scope = this
+            peers.start(this)
+            launch { server.serve(serveOn, scope) }
+            withTimeoutOrNull(REHEARSAL_MS) {
+                while (true) {
+                    step(Input.Tick)
+                    Rehearsal.calls(serveOn).forEach { client.call(it) }
+                    peers.send(
+                        "rehearsal",
+                        PeerMessage.Status("drover-0", 1, "drover-0", leading = false, answering = false, storeServed = true),
+                    )
+                    delay(TICK_MS)
+                }
+            }
+            coroutineContext.cancelChildren()
+        }
+    }
+
     private fun step(input: Input) {
         controller.step(input, System.nanoTime() / 1e9, System.currentTimeMillis()).forEach(::carryOut)
     }
@@ -65,5 +89,6 @@
 
     private companion object {
         const val TICK_MS = 100L
+        const val REHEARSAL_MS = 2_000L
     }
 }
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -359,7 +359,10 @@
                 if (claim.ended) continue
                 val job = jobs[claim.job] ?: continue
                 val last = job.lastRun.get(claim.task)
-                if (claim.run < last) release(claim, lost = true)
+                when {
+                    claim.run < last -> release(claim, lost = true)
+                    job.durable.get(claim.task) -> release(claim, lost = false)
+                }
             }
         }
         for (round in rounds.values) round.claims.filter { !it.ended }.forEach { jobs[it.job]?.claims?.put(it.task, it) }
