--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -82,6 +82,7 @@
         method: String,
         path: String,
         body: String,
+        passedOn: Boolean = false,
         then: (Answer) -> Unit,
     ) {
         val parts = path.trim('/').split('/')
@@ -90,14 +91,14 @@
 
             path == "/agent/beat" -> only(method, "POST", then) { then(beat(body)) }
 
-            path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, then) }
+            path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, passedOn, then) }
 
-            parts.size == 3 && path.startsWith("/api/jobs/") -> only(method, "GET", then) { intake.query(parts[2], then) }
+            parts.size == 3 && path.startsWith("/api/jobs/") -> only(method, "GET", then) { intake.query(parts[2], passedOn, then) }
 
             parts.size == 4 &&
                 path.startsWith(
                     "/api/jobs/",
-                ) && parts[3] == "abort" -> only(method, "POST", then) { intake.abort(parts[2], then) }
+                ) && parts[3] == "abort" -> only(method, "POST", then) { intake.abort(parts[2], passedOn, then) }
 
             else -> then(Answer.error(404, "no such path"))
         }
@@ -125,7 +126,7 @@
     // --- peers
 
     private fun fromPeer(message: PeerMessage) {
-        peers.heard(message.from)
+        peers.heard(message)
         when (message) {
             is PeerMessage.Status -> {
                 leadership.heard(message)
@@ -140,12 +141,7 @@
             }
 
             is PeerMessage.Ask -> {
-                // Passed on once only: a member that does not lead says so.
-                if (leadership.leading) {
-                    request(message.method, message.path, message.body) { reply(message, it) }
-                } else {
-                    reply(message, Answer.unavailable("not the leader"))
-                }
+                request(message.method, message.path, message.body, passedOn = true) { reply(message, it) }
             }
         }
     }
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -34,7 +34,40 @@
 
     // --- submit
 
+    /**
+     * Submits here, or through a peer where the state service refuses this member alone. The row's key makes it safe to try
+     * there what has an unknown outcome here. What has been passed on once is not passed on again.
+     */
     fun submit(
+        body: String,
+        passedOn: Boolean,
+        then: (Answer) -> Unit,
+    ) {
+        val helper = if (passedOn) null else peers.served()
+        when {
+            helper == null -> {
+                submitHere(body, then)
+            }
+
+            !store.served -> {
+                peers.ask(helper, "POST", "/api/jobs", body, PASS_S) {
+                    then(it ?: Answer.unavailable("no member can reach the state service"))
+                }
+            }
+
+            else -> {
+                submitHere(body) { first ->
+                    if (first.status != 503) {
+                        then(first)
+                    } else {
+                        peers.ask(helper, "POST", "/api/jobs", body, PASS_S) { then(it ?: first) }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun submitHere(
         body: String,
         then: (Answer) -> Unit,
     ) {
@@ -155,12 +188,13 @@
 
     fun query(
         id: String,
+        passedOn: Boolean,
         then: (Answer) -> Unit,
     ) {
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
         local(id)?.let { return then(it) }
-        val leader = leadership.knownLeader
-        if (leadership.leading || leader == null || leader == ctx.settings.member) return queryRows(id, then)
+        val leader = if (leadership.leading) peers.served() else leadership.knownLeader ?: peers.served()
+        if (passedOn || leader == null || leader == ctx.settings.member) return queryRows(id, then)
         peers.ask(leader, "GET", "/api/jobs/$id", "", ASK_S) { answer ->
             if (answer != null && answer.status != 503) {
                 noteEnd(id, answer)
@@ -270,6 +304,7 @@
 
     fun abort(
         id: String,
+        passedOn: Boolean,
         then: (Answer) -> Unit,
     ) {
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
@@ -280,7 +315,7 @@
                 abortHere(id, then)
             }
 
-            leadership.leading || leader == null || leader == ctx.settings.member -> {
+            passedOn || leadership.leading || leader == null || leader == ctx.settings.member -> {
                 then(Answer.unavailable("no leader at the moment"))
             }
 
@@ -390,6 +425,7 @@
     private companion object {
         const val PATIENCE_S = 0.8
         const val ASK_S = 0.6
+        const val PASS_S = 1.0
         const val ABORT_S = 1.5
     }
 }
--- a/src/main/kotlin/burlridge/peer/Peers.kt
+++ b/src/main/kotlin/burlridge/peer/Peers.kt
@@ -10,12 +10,17 @@
 ) {
     private val asked = Long2ObjectOpenHashMap<(Answer?) -> Unit>()
     private var nextAsk = 1L
+    private val statuses = HashMap<String, PeerMessage.Status>()
     private val heardAt = HashMap<String, Double>()
 
-    fun heard(member: String) {
-        heardAt[member] = ctx.now
+    fun heard(message: PeerMessage) {
+        heardAt[message.from] = ctx.now
+        if (message is PeerMessage.Status) statuses[message.from] = message
     }
 
+    /** Another member that lately said the state service answers it. */
+    fun served(): String? = statuses.values.firstOrNull { it.storeServed && !silent(it.from) }?.from
+
     fun silent(member: String): Boolean = ctx.now > (heardAt[member] ?: -1e9) + SILENT_S
 
     /** Asks [member]; null when it does not answer in time. A member long unheard of is not waited for. */
