Failed and silent machines are returned at once, to be certain of them

Cause: tasks on a machine that died waited for its worker's lease to lapse (24 and 36 s). A failed machine, or one silent for 4.5 report intervals while most others are heard, is returned; the cloud's answer settles it.

--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -172,7 +172,10 @@
             machine.listedAgeS = maxOf(machine.listedAgeS, node.path("ageS").asDouble(0.0))
             if (machine.rentedAt == 0.0) machine.rentedAt = ctx.now - machine.listedAgeS
             machine.starting = node.path("standing").asText() == "starting" && !machine.up
-            if (node.path("standing").asText() == "failed") machine.leaving = true
+            if (node.path("standing").asText() == "failed" && !machine.dead) {
+                ctx.info("machine $id has failed; returning it")
+                machine.dead = true
+            }
             if (machine.address == null) {
                 node.path("addr").asText("").let { text ->
                     text.substringAfterLast(':', "").toIntOrNull()?.let { machine.address = Endpoint(text.substringBeforeLast(':'), it) }
@@ -336,6 +339,10 @@
             val boot = types.types[machine.type]?.bootS ?: continue
             // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
             val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
+            if (buried(machine)) {
+                ctx.info("machine ${machine.id} is silent for ${(ctx.now - machine.lastReportAt).toInt()} s; returning it to be certain")
+                machine.dead = true
+            }
             if (overdue && !machine.leaving) {
                 ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
                 machine.leaving = true
@@ -343,11 +350,26 @@
         }
         giveBack(
             workers.machines.values
-                .filter { it.leaving && !it.returning && ledger.byMachine[it.id].isNullOrEmpty() }
+                .filter { !it.returning && (it.dead || (it.leaving && ledger.byMachine[it.id].isNullOrEmpty())) }
                 .take(MOST_PER_RETURN),
         )
     }
 
+    /**
+     * A machine that reported to this leader and fell silent is dead or cut off. Returning it settles which, well before its
+     * worker's lease would. Not where many are silent at once: then the fault is more likely ours or the network's.
+     */
+    private fun buried(machine: Machine): Boolean {
+        if (machine.dead || !machine.up || machine.lapsed ||
+            ctx.now < machine.lastReportAt + ctx.settings.workers.reportS * DEAD_REPORTS
+        ) {
+            return false
+        }
+        val up = workers.machines.values.filter { it.up && !it.lapsed }
+        val heard = up.count { ctx.now < it.lastReportAt + ctx.settings.workers.reportS * 2 }
+        return heard >= (up.size * MOST_HEARD).toInt().coerceAtLeast(1)
+    }
+
     private fun giveBack(list: List<Machine>) {
         if (list.isEmpty()) return
         list.forEach {
@@ -489,6 +511,8 @@
 
         /** A list is at most twice its usual lag old; the rest is margin. */
         const val OLDEST_LIST = 3.0
+        const val DEAD_REPORTS = 4.5
+        const val MOST_HEARD = 0.6
         const val OVERDUE_BOOTS = 3.0
         const val REFUSED_S = 15.0
         const val LAVISH_STEP = 4
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -51,6 +51,9 @@
     var idleSince: Double = 0.0
     var failures: Int = 0
     var leaving: Boolean = false
+
+    /** Given up for dead: it goes back whatever was on it, and the cloud's answer makes that certain. */
+    var dead: Boolean = false
     var returning: Boolean = false
     var lapsed: Boolean = false
     val images: LinkedHashSet<String> = LinkedHashSet()
