Reports are relayed to a leader that the worker itself cannot reach

A worker that comes straight back is now relayed over the peer link; every lease's time it is sent to the leader again.

--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -10,6 +10,7 @@
 import burlridge.store.Read
 import burlridge.store.Store
 import burlridge.store.Urgency
+import burlridge.worker.Relay
 import burlridge.worker.Workers
 
 /** The state machine of one controller: an input and the time go in, what to send, write and answer comes out. */
@@ -27,6 +28,7 @@
     private val peers = Peers(ctx)
     private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
     val leads: Boolean get() = leadership.standing && intake.loaded
+    private val relay = Relay(ctx, peers)
     private var announceAt = 0.0
     private var followAt = 0L
     private var placing = false
@@ -89,7 +91,7 @@
         when {
             path == "/ready" -> only(method, "GET", then) { then(if (ready) Answer(200, "{}") else Answer.unavailable("starting")) }
 
-            path == "/agent/beat" -> only(method, "POST", then) { then(beat(body)) }
+            path == "/agent/beat" -> only(method, "POST", then) { beat(body, passedOn, then) }
 
             path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, passedOn, then) }
 
@@ -115,12 +117,16 @@
 
     private val ready: Boolean get() = fleet.catalog != null
 
-    private fun beat(body: String): Answer {
-        if (!leadership.leading) {
-            val leader = leadership.knownLeader?.takeIf { it != settings.member }
-            return Answer(421, Json.write(Json.obj { leader?.let { put("herder", it) } }))
+    private fun beat(
+        body: String,
+        passedOn: Boolean,
+        then: (Answer) -> Unit,
+    ) {
+        when {
+            leadership.answering -> then(workers.beat(body))
+            leadership.leading || passedOn -> then(Answer.unavailable("leadership in doubt"))
+            else -> relay.beat(body, leadership.knownLeader?.takeIf { it != settings.member }, then)
         }
-        return if (leadership.answering) workers.beat(body) else Answer.unavailable("leadership in doubt")
     }
 
     // --- peers
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/Relay.kt
@@ -0,0 +1,52 @@
+package burlridge.worker
+
+import burlridge.app.Answer
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.peer.Peers
+
+/**
+ * What a member that does not lead does with reports. A worker is sent to the leader; one that comes straight back cannot
+ * reach it, and would lose its lease and all its tasks on the way between us. Its reports are passed to the leader over the
+ * peer link, and the leader's answers, token and all, back to it.
+ */
+internal class Relay(
+    private val ctx: Context,
+    private val peers: Peers,
+) {
+    private class Seen(
+        val leader: String,
+        var sentAwayAt: Double,
+        var relayedSince: Double? = null,
+    )
+
+    private val times = ctx.settings.workers
+    private val seen = HashMap<String, Seen>()
+
+    fun beat(
+        body: String,
+        leader: String?,
+        then: (Answer) -> Unit,
+    ) {
+        if (leader == null) return then(redirect(null))
+        val worker =
+            Json
+                .parseOrNull(body)
+                ?.path("drover")
+                ?.takeIf { it.isTextual }
+                ?.asText() ?: return then(Answer.error(400, "not a report"))
+        val before = seen[worker]?.takeIf { it.leader == leader }
+        val stuck = before != null && (relaying(before) || ctx.now < before.sentAwayAt + times.leaseS / 2)
+        if (before == null || !stuck) {
+            seen[worker] = Seen(leader, ctx.now)
+            return then(redirect(leader))
+        }
+        before.relayedSince = before.relayedSince ?: ctx.now
+        peers.ask(leader, "POST", "/agent/beat", body, times.reportS / 2) { answer -> then(answer ?: redirect(leader)) }
+    }
+
+    /** After a lease's time a relayed worker is sent to the leader again, to see whether the way is free. */
+    private fun relaying(before: Seen): Boolean = before.relayedSince?.let { ctx.now < it + times.leaseS } ?: false
+
+    private fun redirect(leader: String?) = Answer(421, Json.write(Json.obj { leader?.let { put("herder", it) } }))
+}
