--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/FailureTest.kt
@@ -0,0 +1,156 @@
+package burlridge.sim
+
+import burlridge.sim.World.Fate
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** One failure at a time, each at its worst moment. */
+internal class FailureTest {
+    private val world = World(7)
+
+    /** The first call that [matches] meets [fate]; everything else goes well. */
+    private fun once(
+        fate: Fate,
+        matches: (String, String) -> Boolean,
+    ): () -> Int {
+        var met = 0
+        world.meddle = { _, call ->
+            if (met == 0 && matches(call.path, call.body.orEmpty())) {
+                met++
+                fate
+            } else {
+                Fate.FINE
+            }
+        }
+        return { met }
+    }
+
+    private fun verdict(vararg jobs: String) {
+        assertEquals(emptyList<String>(), world.rules.broken)
+        assertEquals(emptyList<String>(), jobs.filterNot { world.rules.finished(it) }, "not over")
+    }
+
+    private fun threeTasks(until: Double = 120.0) {
+        world.clock.after(5.0) { world.submit(world.job(1, 3)) }
+        world.run(until)
+        verdict("j-000001")
+    }
+
+    @Test
+    fun `a command is executed and its answer lost, and no task starts twice`() {
+        val met = once(Fate.ANSWER_LOST) { path, body -> path == "/do" && "run" in body }
+        threeTasks()
+        assertEquals(1, met())
+        assertEquals(3, world.rules.starts)
+    }
+
+    @Test
+    fun `a command held back for long is void when it arrives`() {
+        val met = once(Fate.LATE) { path, body -> path == "/do" && "run" in body }
+        threeTasks()
+        assertEquals(1, met())
+        assertEquals(3, world.rules.starts)
+    }
+
+    @Test
+    fun `a claim whose answer is lost is found to be ours`() {
+        val met = once(Fate.ANSWER_LOST) { path, body -> path == "/multi" && "round/" in body }
+        threeTasks()
+        assertEquals(1, met())
+        assertEquals(3, world.rules.starts)
+    }
+
+    @Test
+    fun `a claim that is applied late changes nothing`() {
+        val met = once(Fate.LATE) { path, body -> path == "/multi" && "round/" in body }
+        threeTasks()
+        assertEquals(1, met())
+        assertEquals(3, world.rules.starts)
+    }
+
+    @Test
+    fun `a rental executed late brings machines that are used or returned`() {
+        val met = once(Fate.LATE) { path, _ -> path == "/rentals" }
+        threeTasks(240.0)
+        assertEquals(1, met())
+    }
+
+    @Test
+    fun `a leader that cannot boot any machine keeps to one plan step at a time`() {
+        world.cloud.silentBoots = true
+        world.clock.after(5.0) { world.submit(world.job(1, 3)) }
+        world.run(25.0)
+        assertTrue(world.cloud.requests.size <= 2, "rented again before a boot could be told from a lagging list: ${world.cloud.requests}")
+        world.cloud.silentBoots = false
+        world.run(240.0)
+        verdict("j-000001")
+    }
+
+    @Test
+    fun `a leader cut from the state service gives way, and its workers keep their tasks`() {
+        world.clock.after(5.0) { world.submit(world.job(1, 3, runS = 40.0)) }
+        world.clock.after(30.0) { world.leader()?.let { world.cut(it, "state", 60.0) } }
+        world.run(150.0)
+        verdict("j-000001")
+        assertEquals(3, world.rules.starts)
+    }
+
+    /** Guards the zone kept with a claim: a new leader has heard of no machine when it places the rest of the job. */
+    @Test
+    fun `a spread job stays spread when its leader dies half way`() {
+        repeat(6) { i -> world.clock.after(5.0 + i) { world.submit(world.job(i, 10, cpus = 2.0, spread = true, runS = 20.0)) } }
+        repeat(6) { i -> world.clock.after(20.0 + 7 * i) { world.leader()?.let { world.crash(it, 2.0) } } }
+        world.run(300.0)
+        verdict("j-000000", "j-000005")
+    }
+
+    @Test
+    fun `a withdrawal races the start and the end of its job`() {
+        repeat(40) { i -> world.clock.after(20.0 + i) { world.submit(world.job(i, 2, runS = 2.0), abortAfter = i * 0.15) } }
+        world.run(150.0)
+        verdict(*Array(40) { "j-%06d".format(it) })
+    }
+
+    @Test
+    fun `every controller dies at once, and accepted jobs run on`() {
+        repeat(5) { i -> world.clock.after(5.0 + i) { world.submit(world.job(i, 4, runS = 30.0)) } }
+        world.clock.after(30.0) { world.members.forEach { world.crash(it, 6.0) } }
+        world.run(200.0)
+        verdict("j-000000", "j-000004")
+        assertEquals(20, world.rules.starts)
+    }
+
+    @Test
+    fun `tasks outlive an outage of the state service`() {
+        world.clock.after(5.0) { world.submit(world.job(1, 3, runS = 45.0)) }
+        world.clock.after(28.0) { world.state.outage(20.0) }
+        world.run(150.0)
+        verdict("j-000001")
+        assertEquals(3, world.rules.starts)
+    }
+
+    /** Guards the relay: without it the workers' leases lapse on the way between a leader out of reach and the others. */
+    @Test
+    fun `workers that cannot reach the leader are relayed to it`() {
+        world.clock.after(5.0) { world.submit(world.job(1, 3, runS = 60.0)) }
+        world.clock.after(30.0) {
+            val leader = world.leader() ?: return@after
+            world.cloud.names().forEach { world.cut(it, leader, 50.0) }
+        }
+        world.run(200.0)
+        verdict("j-000001")
+        assertEquals(3, world.rules.starts)
+    }
+
+    @Test
+    fun `rounds and progress leave no rows behind`() {
+        repeat(8) { i -> world.clock.after(5.0 + i) { world.submit(world.job(i, 5)) } }
+        world.run(150.0)
+        assertEquals(
+            emptyList<String>(),
+            world.state.keys("round/") + world.state.keys("prog/") + world.state.keys("live/") + world.state.keys("rental/"),
+        )
+        assertEquals(8, world.state.keys("over/").size)
+    }
+}
