--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -23,22 +23,23 @@
 
 private class Serve : CoreCliktCommand("serve") {
     private val config by option("--config", help = "the platform's settings, a JSON file").required()
+    private val settings by option("--settings", help = "the operators' own settings, an INI file")
 
     override fun help(context: Context) = "Run a controller until it is killed."
 
     override fun run() {
-        Service(read(config)).run()
+        Service(read(config, settings)).run()
     }
 }
 
 private class Check : CoreCliktCommand("check") {
     private val config by option("--config", help = "the platform's settings, a JSON file").required()
+    private val settings by option("--settings", help = "the operators' own settings, an INI file")
 
     override fun help(context: Context) = "Read the settings, say what is wrong with them, and stop."
 
     override fun run() {
-        val settings = read(config)
-        echo("settings of ${settings.member} are fine")
+        echo("settings of ${read(config, settings).member} are fine")
     }
 }
 
@@ -54,13 +55,24 @@
     }
 }
 
-private fun read(config: String): Settings =
+private fun read(
+    config: String,
+    operator: String?,
+): Settings {
+    val platform = load(config, Settings::parse)
+    return if (operator == null) platform else platform.copy(operator = load(operator, OperatorSettings::parse))
+}
+
+private fun <T> load(
+    file: String,
+    parse: (String) -> T,
+): T =
     try {
-        Settings.parse(File(config).readText())
+        parse(File(file).readText())
     } catch (e: SettingsError) {
-        fail("$config: ${e.message}")
+        fail("$file: ${e.message}")
     } catch (e: IOException) {
-        fail("$config cannot be read: ${e.message}")
+        fail("$file cannot be read: ${e.message}")
     }
 
 private fun fail(line: String): Nothing {
--- /dev/null
+++ b/src/main/kotlin/burlridge/app/OperatorSettings.kt
@@ -0,0 +1,64 @@
+package burlridge.app
+
+import org.ini4j.Ini
+import java.io.StringReader
+
+/**
+ * The operators' own settings, an INI file beside the platform's. Every figure is a ratio to one of the platform's, so that
+ * the defaults suit any deployment; `docs/operating.md` explains each key.
+ */
+internal data class OperatorSettings(
+    /** Machines sampled for a task's best fit. */
+    val sample: Int = 5,
+    /** Report intervals that a machine stays idle before it is returned. */
+    val idleReports: Double = 10.0,
+    /** Room kept free for lanes with a wait aim, in jobs of the usual size. */
+    val headroom: Double = 1.5,
+    /** The leader's lease, in report intervals. */
+    val leaseReports: Double = 0.75,
+) {
+    internal companion object {
+        private val KEYS =
+            mapOf(
+                "placement" to setOf("sample"),
+                "fleet" to setOf("idle_reports", "headroom"),
+                "leadership" to setOf("lease_reports"),
+            )
+
+        fun parse(text: String): OperatorSettings {
+            val ini =
+                try {
+                    Ini(StringReader(text))
+                } catch (e: java.io.IOException) {
+                    throw SettingsError("not an INI file: ${e.message}")
+                }
+            for ((name, section) in ini) {
+                val known = KEYS[name] ?: throw SettingsError("unknown section [$name]; known are ${KEYS.keys}")
+                section.keys.firstOrNull { it !in known }?.let { throw SettingsError("unknown key $it in [$name]; known are $known") }
+            }
+            val usual = OperatorSettings()
+            return OperatorSettings(
+                sample = ini.number("placement", "sample", usual.sample.toDouble(), 1.0..1000.0).toInt(),
+                idleReports = ini.number("fleet", "idle_reports", usual.idleReports, 1.0..1000.0),
+                headroom = ini.number("fleet", "headroom", usual.headroom, 0.0..10.0),
+                leaseReports = ini.number("leadership", "lease_reports", usual.leaseReports, 0.4..3.0),
+            )
+        }
+
+        private fun Ini.number(
+            section: String,
+            key: String,
+            usual: Double,
+            range: ClosedFloatingPointRange<Double>,
+        ): Double {
+            val text = get(section)?.get(key) ?: return usual
+            val value = text.trim().toDoubleOrNull()
+            if (value == null ||
+                value !in range
+            ) {
+                throw SettingsError("$key in [$section] must be a number from ${range.start} to ${range.endInclusive}, not \"$text\"")
+            }
+            return value
+        }
+    }
+}
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -24,6 +24,8 @@
     private val server = HttpServer(selector) { request, _ -> step(request) }
     private val peers = PeerLinks(settings, selector) { step(Input.FromPeer(it)) }
     private val serveOn = settings.serveOn
+    private val metrics = Metrics()
+    private var metricsAt = 0L
     private lateinit var scope: CoroutineScope
 
     fun run() {
@@ -33,11 +35,18 @@
             launch { server.serve(serveOn, scope) }
             while (true) {
                 step(Input.Tick)
+                logMetrics()
                 delay(TICK_MS)
             }
         }
     }
 
+    private fun logMetrics() {
+        if (System.nanoTime() - metricsAt < METRICS_NS) return
+        metricsAt = System.nanoTime()
+        log.debug("metrics: {}", metrics.line())
+    }
+
     /** A short life with itself as state service, cloud and worker, so that every path of I/O is walked once. */
     fun rehearse() {
         runBlocking {
@@ -60,10 +69,12 @@
     }
 
     private fun step(input: Input) {
+        metrics.stepped(input)
         controller.step(input, System.nanoTime() / 1e9, System.currentTimeMillis()).forEach(::carryOut)
     }
 
     private fun carryOut(effect: Effect) {
+        metrics.carriedOut(effect)
         when (effect) {
             is Effect.Answer -> {
                 server.answer(effect)
@@ -89,6 +100,7 @@
 
     private companion object {
         const val TICK_MS = 100L
+        const val METRICS_NS = 60_000_000_000L
         const val REHEARSAL_MS = 2_000L
     }
 }
--- a/src/main/kotlin/burlridge/app/Settings.kt
+++ b/src/main/kotlin/burlridge/app/Settings.kt
@@ -68,7 +68,7 @@
     val workers: WorkerTimes,
     val store: StoreLimits,
     val cloudLimits: CloudLimits,
-    val maxConnections: Int,
+    val operator: OperatorSettings = OperatorSettings(),
 ) {
     val controllers: Int get() = others.size + 1
 
@@ -114,7 +114,6 @@
                         state.positive("txn_ops", "params.state.").toInt(),
                     ),
                 cloudLimits = CloudLimits(cloud.positive("rps", "params.cloud."), cloud.positive("list_lag_s", "params.cloud.")),
-                maxConnections = params.path("limits").path("max_connections").asInt(1000),
             )
         }
 
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -33,11 +33,10 @@
     private fun headroom(): List<Pair<JobSpec, Int>> =
         waits.mapNotNull { aim ->
             val list = recent[aim.lane]?.takeIf { it.isNotEmpty() } ?: return@mapNotNull null
-            list.last() to Math.ceil(list.map { it.tasks }.average() * HEADROOM).toInt()
+            list.last() to Math.ceil(list.map { it.tasks }.average() * ctx.settings.operator.headroom).toInt()
         }
 
     private companion object {
         const val REMEMBERED = 10
-        const val HEADROOM = 1.5
     }
 }
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -62,6 +62,7 @@
     private val refusals = HashMap<Offer, Int>()
     private val lag = ctx.settings.cloudLimits.listLagS
     private var planAt = 0.0
+    private val idleS = ctx.settings.workers.reportS * ctx.settings.operator.idleReports
     private val demand = Demand(ctx, ledger)
 
     fun clear() {
@@ -479,7 +480,7 @@
     private fun returnIdle(after: List<Slot>) {
         val idle =
             workers.machines.values.filter { m ->
-                m.up && !m.leaving && m.idleSince > 0 && ctx.now > m.idleSince + IDLE_S && ledger.byMachine[m.id].isNullOrEmpty()
+                m.up && !m.leaving && m.idleSince > 0 && ctx.now > m.idleSince + idleS && ledger.byMachine[m.id].isNullOrEmpty()
             }
         if (idle.isEmpty()) return
         // Only machines that the expected tasks leave wholly free are spare.
@@ -516,6 +517,5 @@
         const val OVERDUE_BOOTS = 3.0
         const val REFUSED_S = 15.0
         const val LAVISH_STEP = 4
-        const val IDLE_S = 30.0
     }
 }
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -24,7 +24,7 @@
     }
 
     private val settings = ctx.settings
-    private val ttlS = settings.workers.reportS * 0.75
+    private val ttlS = settings.workers.reportS * settings.operator.leaseReports
 
     /**
      * How long after its last good renewal was sent a leader may still answer workers. Together with a worker's lease and a
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -25,6 +25,8 @@
             .mapNotNull { it.lane }
             .toSet()
 
+    private val sampleSize = ctx.settings.operator.sample
+
     private class Room(
         val machine: Machine,
         val whole: Size,
@@ -149,7 +151,7 @@
         // The design samples blindly; a lane with a wait aim cannot afford a fetch where another machine holds the image.
         val holders = if (spec.lane in urgentLanes) withRoom.filter { spec.image in it.machine.images } else emptyList()
         val among = holders.ifEmpty { withRoom }
-        val sample = if (among.size <= SAMPLE) among else among.shuffled(ctx.random).take(SAMPLE)
+        val sample = if (among.size <= sampleSize) among else among.shuffled(ctx.random).take(sampleSize)
         return sample.minByOrNull { leftover(it, spec) }
     }
 
@@ -176,8 +178,6 @@
     }
 
     private companion object {
-        const val SAMPLE = 5
-
         /** A second of fetching weighs as much as so many CPUs left over. */
         const val CPUS_A_SECOND = 0.5
         const val GPU_WEIGHT = 16.0
--- /dev/null
+++ b/src/test/kotlin/burlridge/intake/JobSpecTest.kt
@@ -0,0 +1,40 @@
+package burlridge.intake
+
+import burlridge.app.Json
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+
+internal class JobSpecTest {
+    private val good =
+        """{"id":"j-000412","lane":"train","crew":"vision","shape":"array","urgency":"high","pieces":16,"vcpus":8.0,"gpus":1.0,
+        "ramGb":64.0,"bundle":"img-07","pullGb":6.2,"breeds":["g8"],"yard":null,"together":true,"spread":false,"loaners":true,
+        "guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0}"""
+
+    private fun complaint(
+        from: String,
+        to: String,
+    ): String =
+        assertThrows(BadJob::class.java) {
+            JobSpec.parse(Json.parseOrNull(good.replace(from, to).also { check(it != good) }))
+        }.message.orEmpty()
+
+    @Test
+    fun `a job is read, written and read again alike`() {
+        val spec = JobSpec.parse(Json.parse(good))
+        assertEquals(spec, JobSpec.parse(spec.encode()))
+        assertEquals(spec.fingerprint, JobSpec.parse(spec.encode()).fingerprint)
+    }
+
+    @Test
+    fun `what is malformed is refused with a reason`() {
+        assertEquals("id must look like j-000412", complaint("j-000412", "x/../y"))
+        assertEquals("pieces must be from 1 to 100000", complaint("\"pieces\":16", "\"pieces\":0"))
+        assertEquals("pieces must be a whole number", complaint("\"pieces\":16", "\"pieces\":1.5"))
+        assertEquals("vcpus must be a number from 0", complaint("\"vcpus\":8.0", "\"vcpus\":-8.0"))
+        assertEquals("vcpus must be a number from 0", complaint("\"vcpus\":8.0", "\"vcpus\":1e999"))
+        assertEquals("shape must be \"array\"", complaint("\"array\"", "\"ring\""))
+        assertEquals("crew is missing", complaint("\"crew\"", "\"team\""))
+        assertEquals("the body is not JSON", complaint("{", ""))
+    }
+}
