--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -25,6 +25,10 @@
             .mapNotNull { it.lane }
             .toSet()
 
+    private val finishAims =
+        ctx.settings.objectives
+            .filter { it.kind == "finished" && it.lane != null && it.withinS != null }
+            .associate { it.lane to it.withinS }
     private val sampleSize = ctx.settings.operator.sample
 
     private class Room(
@@ -74,22 +78,36 @@
         return free
     }
 
-    /** Highest priority first; within it the team that uses the least of its share; within a team by deadline, then age. */
+    /** Highest priority first; within it the team that uses the least of its share; within a team by [rank]. */
     fun queue(): List<Job> {
         val waiting = ledger.jobs.values.filter { it.ending == null && it.done.cardinality() + it.claims.size < it.spec.tasks }
         return waiting.sortedWith(
-            compareBy<Job> { it.spec.priority }.thenBy { load(it.spec.team) }.thenBy { due(it) }.thenBy { it.submittedMs },
+            compareBy<Job> { it.spec.priority }.thenBy { tooLate(it) }.thenBy { load(it.spec.team) }.thenBy { rank(it) },
         )
     }
 
+    /** When the aims want a job complete, counted from its submission; null where none says. */
+    private fun limitS(job: Job): Double? = job.spec.deadlineS ?: finishAims[job.spec.lane]
+
+    private fun ageS(job: Job): Double = (ctx.wallMs - job.submittedMs) / 1000.0
+
+    /** A job that cannot be complete in time any more gives way to those that still can. */
+    private fun tooLate(job: Job): Boolean = limitS(job)?.let { ageS(job) + job.spec.estimateS * SURE_PART > it } ?: false
+
+    /** Within a team: with a deadline the earliest first, otherwise the least work first, which keeps most jobs within a common aim. */
+    private fun rank(job: Job): Double {
+        val spec = job.spec
+        spec.deadlineS?.let { return it - ageS(job) }
+        val left = spec.tasks - job.done.cardinality()
+        return left * spec.estimateS - ageS(job)
+    }
+
     private fun load(team: String): Double {
         val share = ctx.settings.teams[team] ?: return 0.0
         val used = ledger.used[team] ?: return 0.0
         return maxOf(if (share.cpus > 0) used.cpus / share.cpus else 0.0, if (share.gpus > 0) used.gpus / share.gpus else 0.0)
     }
 
-    private fun due(job: Job): Double = job.spec.deadlineS?.let { job.submittedMs / 1000.0 + it } ?: Double.MAX_VALUE
-
     private fun place(
         job: Job,
         rooms: List<Room>,
@@ -180,6 +198,9 @@
     private companion object {
         /** A second of fetching weighs as much as so many CPUs left over. */
         const val CPUS_A_SECOND = 0.5
+
+        /** Estimates are often too high; so much of one surely remains to be run. */
+        const val SURE_PART = 0.3
         const val GPU_WEIGHT = 16.0
 
         /** A round's row stays well under the smallest sensible value size. */
