Idle machines are kept for twenty report intervals, not ten

Cause: a boot takes longer than the guarantee's 20 s, so each early return costs a late start and a paid boot.

--- a/src/main/kotlin/burlridge/app/OperatorSettings.kt
+++ b/src/main/kotlin/burlridge/app/OperatorSettings.kt
@@ -11,7 +11,7 @@
     /** Machines sampled for a task's best fit. */
     val sample: Int = 5,
     /** Report intervals that a machine stays idle before it is returned. */
-    val idleReports: Double = 10.0,
+    val idleReports: Double = 20.0,
     /** Room kept free for lanes with a wait aim, in jobs of the usual size. */
     val headroom: Double = 1.5,
     /** The leader's lease, in report intervals. */
