--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -32,7 +32,10 @@
     private var announceAt = 0.0
     private var followAt = 0L
     private var placing = false
-    private var placedAt = 0.0
+    private var placedAt = -1e9
+
+    /** Between two placement rounds: what comes up meanwhile shares a row, and the core has time for everything else. */
+    private val roundS = settings.workers.reportS / ROUNDS_A_REPORT
 
     fun step(
         input: Input,
@@ -47,7 +50,7 @@
             is Input.FromPeer -> fromPeer(input.message)
         }
         ctx.runDue()
-        if (placing) place()
+        if (placing && ctx.now >= placedAt + roundS) place()
         store.pump()
         return ctx.finish()
     }
@@ -260,6 +263,7 @@
     private companion object {
         const val ANNOUNCE_S = 0.5
         const val PLACE_S = 1.0
+        const val ROUNDS_A_REPORT = 25
         const val RELOAD_S = 0.5
         const val FOLLOW_S = 10.0
         const val FOLLOW_PAUSE_S = 0.5
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -13,13 +13,18 @@
     private val recent = HashMap<String, ArrayDeque<JobSpec>>()
     private val seen = HashSet<String>()
 
-    /** A task that must start within a report interval can wait for no machine: whatever can be had is kept. */
-    val lavish: Boolean = waits.any { (it.withinS ?: 0.0) < ctx.settings.workers.reportS }
+    /**
+     * Where no team is guaranteed anything, nobody counts what a team uses, and no aim speaks of money: whatever can be had is
+     * kept. Guarantees are bought, so where there are some, machines are rented for work that is there or surely comes.
+     */
+    val lavish: Boolean =
+        ctx.settings.teams.values
+            .none { it.cpus > 0 || it.gpus > 0 }
 
     fun wanted(): List<Pair<JobSpec, Int>> {
         val now = ledger.jobs.values.filter { it.ending == null }
         now.forEach { if (seen.add(it.spec.id)) remember(it.spec) }
-        val waiting = now.map { it.spec to it.spec.tasks - it.done.cardinality() - it.claims.size }.filter { it.second > 0 }
+        val waiting = now.map { it.spec to it.waiting }.filter { it.second > 0 }
         return waiting.sortedBy { it.first.priority } + headroom()
     }
 
@@ -29,6 +34,15 @@
         if (list.size > REMEMBERED) list.removeFirst()
     }
 
+    /** Types that some kind of recent job cannot do without: other jobs leave them alone while there is another way. */
+    fun indispensable(types: Catalog): Set<String> =
+        recent.values.mapNotNullTo(HashSet()) { list ->
+            types
+                .allowed(list.last())
+                .singleOrNull()
+                ?.name
+        }
+
     /** For lanes with a wait aim, room for a job of the usual size. */
     private fun headroom(): List<Pair<JobSpec, Int>> =
         waits.mapNotNull { aim ->
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -336,14 +336,20 @@
 
     /** Machines that failed, or whose boot has taken far too long, go back. */
     private fun discard(types: Catalog) {
+        val hearing = hearsMost()
         for (machine in workers.machines.values) {
             val boot = types.types[machine.type]?.bootS ?: continue
             // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
             val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
-            if (buried(machine)) {
+            if (hearing && buried(machine)) {
                 ctx.info("machine ${machine.id} is silent for ${(ctx.now - machine.lastReportAt).toInt()} s; returning it to be certain")
                 machine.dead = true
             }
+            val deafSince = machine.deafSince
+            if (hearing && !machine.dead && deafSince != null && ctx.now > deafSince + ctx.settings.workers.leaseS / 2) {
+                ctx.info("machine ${machine.id} reports but has heard nothing for ${(ctx.now - deafSince).toInt()} s; returning it")
+                machine.dead = true
+            }
             if (overdue && !machine.leaving) {
                 ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
                 machine.leaving = true
@@ -360,15 +366,19 @@
      * A machine that reported to this leader and fell silent is dead or cut off. Returning it settles which, well before its
      * worker's lease would. Not where many are silent at once: then the fault is more likely ours or the network's.
      */
-    private fun buried(machine: Machine): Boolean {
-        if (machine.dead || !machine.up || machine.lapsed ||
-            ctx.now < machine.lastReportAt + ctx.settings.workers.reportS * DEAD_REPORTS
-        ) {
-            return false
+    private fun buried(machine: Machine): Boolean =
+        !machine.dead && machine.up && !machine.lapsed && ctx.now > machine.lastReportAt + ctx.settings.workers.reportS * DEAD_REPORTS
+
+    /** Whether most machines are heard from, so that the silence of one is its own. */
+    private fun hearsMost(): Boolean {
+        var up = 0
+        var heard = 0
+        for (machine in workers.machines.values) {
+            if (!machine.up || machine.lapsed) continue
+            up++
+            if (machine.hears && ctx.now < machine.lastReportAt + ctx.settings.workers.reportS * 2) heard++
         }
-        val up = workers.machines.values.filter { it.up && !it.lapsed }
-        val heard = up.count { ctx.now < it.lastReportAt + ctx.settings.workers.reportS * 2 }
-        return heard >= (up.size * MOST_HEARD).toInt().coerceAtLeast(1)
+        return heard >= (up * MOST_HEARD).toInt().coerceAtLeast(1)
     }
 
     private fun giveBack(list: List<Machine>) {
@@ -390,55 +400,60 @@
         }
     }
 
-    private fun pendingOf(offer: Offer): Int = rentals.values.filter { it.offer == offer }.sumOf { it.expected }
-
-    private fun open(offer: Offer): Boolean = ctx.now >= (refusedUntil[offer] ?: 0.0) && pendingOf(offer) == 0
+    /** A few steps of one kind may be on their way at once, so that a large need is met within a few calls. */
+    private fun open(offer: Offer): Boolean =
+        ctx.now >= (refusedUntil[offer] ?: 0.0) && rentals.values.count { it.offer == offer && it.expected > 0 } < MOST_STEPS
 
     private fun rentEverything(types: Catalog) {
         for (type in types.types.values) {
             for (zone in type.zones) {
                 for (spot in listOf(true, false)) {
                     val offer = Offer(type.name, zone, spot)
-                    if (open(offer)) rent(offer, LAVISH_STEP, "every machine counts for the aims")
+                    if (open(offer)) rent(offer, MOST_PER_CALL, "every machine counts for the aims")
                 }
             }
         }
     }
 
     private fun rentNeeded(types: Catalog) {
-        val coming =
-            workers.machines.values
-                .filter { !it.leaving && it.recallAt == null && !(it.up && (it.lapsed || workers.silent(it))) }
-                .mapNotNull { m ->
-                    val whole = types.types[m.type]?.size ?: return@mapNotNull null
-                    var free = whole
-                    ledger.byMachine[m.id]?.values?.forEach { free -= it.charge.size }
-                    Slot(m.type, m.zone, m.spot, free)
-                }.toMutableList()
-        rentals.values.forEach { r ->
-            types.types[r.offer.type]?.let { t ->
-                repeat(r.expected) {
-                    coming +=
-                        Slot(t.name, r.offer.zone, r.offer.spot, t.size)
-                }
-            }
-        }
+        val slots = coming(types)
         val wanted = LinkedHashMap<Offer, Int>()
-        for ((spec, tasks) in demand.wanted()) {
-            repeat(tasks) {
-                val slot = coming.filter { it.allows(spec) && spec.size.fits(it.free) }.minByOrNull { it.free.cpus }
-                if (slot != null) {
-                    slot.free -= spec.size
-                } else {
-                    val offer = cheapest(types, spec) ?: return@repeat
-                    val type = types.types.getValue(offer.type)
-                    wanted.merge(offer, 1, Int::plus)
-                    coming += Slot(offer.type, offer.zone, offer.spot, type.size - spec.size)
-                }
+        val needs = demand.wanted()
+        val scarce = demand.indispensable(types)
+        for ((spec, tasks) in needs) {
+            var left = tasks
+            for (slot in slots) {
+                if (left == 0) break
+                if (slot.allows(spec)) left -= slot.take(spec.size, left)
+            }
+            while (left > 0) {
+                val offer = cheapest(types, spec, scarce) { (wanted[it] ?: 0) < MOST_PER_CALL && open(it) } ?: break
+                val whole = types.types.getValue(offer.type).size
+                wanted.merge(offer, 1, Int::plus)
+                val slot = Slot(offer.type, offer.zone, offer.spot, whole)
+                left -= slot.take(spec.size, left).coerceAtLeast(1)
+                slots += slot
             }
         }
-        wanted.forEach { (offer, count) -> if (open(offer)) rent(offer, count, "waiting and expected tasks have no room") }
-        returnIdle(coming)
+        wanted.forEach { (offer, count) -> rent(offer, count, "waiting and expected tasks have no room") }
+        returnIdle(slots)
+    }
+
+    /** What is free, now or soon, of every machine that will take tasks; the fullest first. */
+    private fun coming(types: Catalog): MutableList<Slot> {
+        val slots = ArrayList<Slot>()
+        for (m in workers.machines.values) {
+            if (m.leaving || m.recallAt != null || (m.up && (m.lapsed || !m.hears || workers.silent(m)))) continue
+            val whole = types.types[m.type]?.size ?: continue
+            val free = whole - ledger.usedOn(m.id)
+            if (free.cpus > 0) slots += Slot(m.type, m.zone, m.spot, free)
+        }
+        for (r in rentals.values) {
+            val type = types.types[r.offer.type] ?: continue
+            repeat(r.expected) { slots += Slot(type.name, r.offer.zone, r.offer.spot, type.size) }
+        }
+        slots.sortWith(compareBy({ it.free.cpus }, { it.free.memoryGb }))
+        return slots
     }
 
     private class Slot(
@@ -449,24 +464,41 @@
     ) {
         fun allows(spec: JobSpec): Boolean =
             (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) && (spec.spot || !spot)
+
+        /** Takes room for up to [most] tasks of [size]; returns how many found some. */
+        fun take(
+            size: Size,
+            most: Int,
+        ): Int {
+            var taken = 0
+            while (taken < most && size.fits(free)) {
+                free -= size
+                taken++
+            }
+            return taken
+        }
     }
 
     private fun cheapest(
         types: Catalog,
         spec: JobSpec,
-    ): Offer? =
-        types
-            .allowed(spec)
+        scarce: Set<String>,
+        available: (Offer) -> Boolean,
+    ): Offer? {
+        val allowed = types.allowed(spec)
+        return allowed
             .flatMap { type ->
+                val dearer = if (type.name in scarce && allowed.size > 1) SCARCE_FACTOR else 1.0
                 type.zones.filter { spec.zone == null || it == spec.zone }.flatMap { zone ->
                     listOf(true, false).filter { !it || spec.spot }.map { spot ->
                         Offer(type.name, zone, spot) to
-                            (if (spot) type.spotPrice else type.price) / fitting(type, spec)
+                            (if (spot) type.spotPrice else type.price) * dearer / fitting(type, spec)
                     }
                 }
-            }.filter { ctx.now >= (refusedUntil[it.first] ?: 0.0) }
+            }.filter { available(it.first) }
             .minByOrNull { it.second }
             ?.first
+    }
 
     private fun fitting(
         type: MachineType,
@@ -516,6 +548,11 @@
         const val MOST_HEARD = 0.6
         const val OVERDUE_BOOTS = 3.0
         const val REFUSED_S = 15.0
-        const val LAVISH_STEP = 4
+
+        /** How much dearer a scarce type counts to jobs that can do without it. */
+        const val SCARCE_FACTOR = 3.0
+
+        /** Steps of one kind on their way at once. */
+        const val MOST_STEPS = 4
     }
 }
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -24,6 +24,9 @@
     val done: BitSet = BitSet()
     val durable: BitSet = BitSet()
 
+    /** Done or claimed: what no placement round need look at. */
+    val taken: BitSet = BitSet()
+
     /** Stamps of the progress rows, one for each chunk of tasks. */
     val progress: Int2ObjectOpenHashMap<Long> = Int2ObjectOpenHashMap()
     val claims: Int2ObjectOpenHashMap<Claim> = Int2ObjectOpenHashMap()
@@ -32,7 +35,9 @@
     val whenOver: ArrayList<(Standing) -> Unit> = ArrayList()
     var failures: Int = 0
     var flushing: Boolean = false
-    var lastFlushAt: Double = 0.0
+
+    /** When the oldest of the ends that are not durable yet was heard of. */
+    var unwrittenSince: Double = 0.0
 
     /** The end that is being written, and once written, told. */
     var ending: Standing? = null
@@ -45,6 +50,12 @@
 
     val complete: Boolean get() = done.cardinality() == spec.tasks
 
+    /** Tasks that are neither done nor claimed. */
+    val waiting: Int get() = spec.tasks - taken.cardinality()
+
+    /** Whether any of its tasks has ever been claimed. */
+    val begun: Boolean get() = !done.isEmpty || lastRun.isNotEmpty()
+
     fun waits(
         task: Int,
         now: Double,
@@ -98,12 +109,16 @@
     val size: burlridge.intake.Size,
 )
 
-/** One row: the starts claimed in one placement round. */
+/** One row: the starts claimed in one placement round. [slot] is its key, claimed anew once [number] is settled. */
 internal class Round(
+    val slot: String,
     val number: String,
     val claims: List<Claim>,
 ) {
     var stamp: Long = 0
+
+    /** Since when nothing in it needs remembering any more. */
+    var settledAt: Double? = null
     var stale: Boolean = false
     var writing: Boolean = false
 }
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -28,8 +28,19 @@
     /** Active claims by machine. */
     val byMachine: HashMap<String, LinkedHashMap<String, Claim>> = HashMap()
     val used: HashMap<String, Size> = HashMap()
+
+    /** What the claims on each machine take. */
+    private val usedOn = HashMap<String, Size>()
     private val rounds = LinkedHashMap<String, Round>()
+
+    /** Rows whose round is settled: claimed anew by the next rounds, which saves their removal. */
+    private val spare = ArrayDeque<Round>()
     private var nextRound = 0L
+
+    /** Rounds whose row's outcome is open; more are not begun while the state service is behind. */
+    var claiming: Int = 0
+        private set
+    private var flushing = 0
     private var lastCleanAt = 0.0
 
     /** Ends once told stay told; only durable ones get in here. */
@@ -55,10 +66,20 @@
         jobs.clear()
         byMachine.clear()
         used.clear()
+        usedOn.clear()
         rounds.clear()
+        spare.clear()
         nextRound = 0
+        claiming = 0
+        flushing = 0
     }
 
+    fun usedOn(machine: String): Size = usedOn[machine] ?: Size.NONE
+
+    /** Starts and jobs that one row and its transaction's conditions hold. */
+    val mostStarts: Int = ctx.settings.store.valueBytes / BYTES_A_START
+    val mostJobs: Int = minOf(ctx.settings.store.txnOps * CONDITIONS_AN_OP - 2, ctx.settings.store.valueBytes / BYTES_A_JOB)
+
     fun fence(): Condition = Condition(Leadership.TERM, leadership.fence)
 
     private fun stillMine(term: Long): () -> Boolean = { leadership.leading && leadership.term == term }
@@ -89,6 +110,7 @@
         val bits = BitSet.valueOf(Base64.getDecoder().decode(row.value.path("bits").asText()))
         bits.stream().forEach {
             job.done.set(chunk * CHUNK + it)
+            job.taken.set(chunk * CHUNK + it)
             job.durable.set(chunk * CHUNK + it)
         }
         job.progress.put(chunk, row.stamp)
@@ -98,7 +120,11 @@
         job: Job,
         task: Int,
     ) {
-        if (!job.done.get(task)) job.done.set(task)
+        if (!job.done.get(task)) {
+            if (job.done.cardinality() == job.durable.cardinality()) job.unwrittenSince = ctx.now
+            job.done.set(task)
+            job.taken.set(task)
+        }
         if (job.complete) finish(job, Standing.DONE)
     }
 
@@ -172,22 +198,26 @@
         claims: List<Claim>,
         then: (Boolean) -> Unit,
     ) {
-        val round = Round("${leadership.term}-${nextRound++}", claims)
-        rounds[round.number] = round
+        val number = "${leadership.term}-${nextRound++}"
+        val before = spare.removeLastOrNull()
+        val round = Round(before?.slot ?: number, number, claims)
+        rounds[round.slot] = round
         claims.forEach {
             it.round = round
             it.claimedAt = ctx.now
             hold(it)
         }
         val conditions = claims.map { it.job }.distinct().mapNotNull { id -> jobs[id]?.let { Condition("live/$id", it.stamp) } }
-        val txn =
-            Txn(listOf(fence(), Condition("round/${round.number}", 0)) + conditions, listOf(Op.Put("round/${round.number}", encode(round))))
+        val key = "round/${round.slot}"
+        val txn = Txn(listOf(fence(), Condition(key, before?.stamp ?: 0)) + conditions, listOf(Op.Put(key, encode(round))))
         round.writing = true
-        store.ensure(txn, Urgency.CLAIM, stillMine(leadership.term)) { result -> claimed(round, result, then) }
+        claiming++
+        store.ensure(txn, Urgency.CLAIM, stillMine(leadership.term)) { result -> claimed(round, before, result, then) }
     }
 
     private fun claimed(
         round: Round,
+        before: Round?,
         result: TxnResult,
         then: (Boolean) -> Unit,
     ) {
@@ -195,6 +225,7 @@
             is TxnResult.Done -> {
                 round.stamp = result.revision
                 round.writing = false
+                claiming--
                 round.claims.forEach { if (it.phase == Phase.CLAIMING) it.phase = Phase.CLAIMED }
                 then(true)
             }
@@ -206,20 +237,20 @@
                     }
 
                     // An earlier copy of this very transaction was applied: only we write this key.
-                    "round/${round.number}" in result.failed -> {
-                        readRound(round, then)
+                    "round/${round.slot}" in result.failed -> {
+                        readRound(round, before, then)
                     }
 
                     // A job in it is over, so nothing was claimed.
                     else -> {
-                        drop(round)
+                        drop(round, before)
                         then(false)
                     }
                 }
             }
 
             else -> {
-                drop(round)
+                drop(round, before)
                 then(false)
             }
         }
@@ -227,40 +258,53 @@
 
     private fun readRound(
         round: Round,
+        before: Round?,
         then: (Boolean) -> Unit,
     ) {
         val term = leadership.term
-        store.get("round/${round.number}", Urgency.CLAIM) { read ->
+        store.get("round/${round.slot}", Urgency.CLAIM) { read ->
             if (!stillMine(term)()) return@get
-            when (read) {
-                is burlridge.store.Read.Found -> {
-                    claimed(round, TxnResult.Done(read.value.stamp), then)
+            val row = (read as? burlridge.store.Read.Found)?.value
+            when {
+                row != null && row.value.path("n").asText() == round.number -> {
+                    claimed(round, before, TxnResult.Done(row.stamp), then)
                 }
 
-                burlridge.store.Read.Absent -> {
-                    drop(round)
-                    then(false)
+                read is burlridge.store.Read.Failed -> {
+                    ctx.later(1.0) { if (stillMine(term)()) readRound(round, before, then) }
                 }
 
-                burlridge.store.Read.Failed -> {
-                    ctx.later(1.0) { if (stillMine(term)()) readRound(round, then) }
+                else -> {
+                    drop(round, null)
+                    then(false)
                 }
             }
         }
     }
 
-    private fun drop(round: Round) {
-        rounds.remove(round.number)
+    /** Nothing was claimed; the row is what it was [before]. */
+    private fun drop(
+        round: Round,
+        before: Round?,
+    ) {
+        claiming--
+        rounds.remove(round.slot)
+        before?.let {
+            rounds[it.slot] = it
+            spare.addLast(it)
+        }
         round.claims.forEach { release(it, lost = true) }
     }
 
     private fun hold(claim: Claim) {
         jobs[claim.job]?.let { job ->
             job.claims.put(claim.task, claim)
+            job.taken.set(claim.task)
             job.lastRun.put(claim.task, maxOf(claim.run, job.lastRun.get(claim.task)))
         }
         byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
         used.merge(claim.charge.team, claim.charge.size, Size::plus)
+        usedOn.merge(claim.machine, claim.charge.size, Size::plus)
     }
 
     /** The claim's task is known to be gone from its machine, and no start of it can come any more. */
@@ -273,74 +317,72 @@
         claim.lost = lost
         if (lost) claim.round?.stale = true
         byMachine[claim.machine]?.let { if (it[claim.piece] === claim) it.remove(claim.piece) }
-        jobs[claim.job]?.let { if (it.claims.get(claim.task) === claim) it.claims.remove(claim.task) }
+        jobs[claim.job]?.let { job ->
+            if (job.claims.get(claim.task) === claim) {
+                job.claims.remove(claim.task)
+                if (!job.done.get(claim.task)) job.taken.clear(claim.task)
+            }
+        }
         used.merge(claim.charge.team, claim.charge.size, Size::minus)
+        usedOn.merge(claim.machine, claim.charge.size, Size::minus)
     }
 
+    /** A job's charge and its starts stand together, zones once for all, so that a row holds as many starts as it can. */
     private fun encode(round: Round): JsonNode =
         Json.obj {
+            val zones = round.claims.map { it.zone }.distinct()
             put("st", "claimed")
+            put("n", round.number)
             put("tok", leadership.term)
             put("until", ctx.wallMs + (ctx.settings.workers.leaseS * 1000).toLong())
-            val jobs = round.claims.associate { it.job to it.charge }
-            putObject("jobs").apply {
-                jobs.forEach { (id, charge) ->
-                    putArray(id)
-                        .add(charge.team)
-                        .add(charge.size.cpus)
-                        .add(charge.size.gpus)
-                        .add(charge.size.memoryGb)
+            putArray("zones").also { all -> zones.forEach(all::add) }
+            val jobs = putObject("jobs")
+            round.claims.groupBy { it.job }.forEach { (id, claims) ->
+                val charge = claims.first().charge
+                val row = jobs.putArray(id)
+                row
+                    .add(charge.team)
+                    .add(charge.size.cpus)
+                    .add(charge.size.gpus)
+                    .add(charge.size.memoryGb)
+                val starts = row.addArray()
+                claims.forEach {
+                    starts
+                        .addArray()
+                        .add(it.task)
+                        .add(it.run)
+                        .add(it.machine)
+                        .add(it.session)
+                        .add(zones.indexOf(it.zone))
+                        .add(if (it.lost) 1 else 0)
                 }
             }
-            val starts = putArray("s")
-            round.claims.forEach {
-                starts
-                    .addArray()
-                    .add(
-                        it.job,
-                    ).add(it.task)
-                    .add(it.run)
-                    .add(it.machine)
-                    .add(it.session)
-                    .add(if (it.lost) 1 else 0)
-                    .add(it.zone)
-            }
             put(
                 "fp",
                 com.google.common.hash.Hashing
                     .sha256()
-                    .hashUnencodedChars(starts.toString())
+                    .hashUnencodedChars(jobs.toString())
                     .toString()
                     .take(16),
             )
         }
 
     fun loadRound(row: Row) {
-        val number = row.key.substringAfter('/')
-        val charges =
-            row.value.path("jobs").properties().associate { (id, v) ->
-                id to Charge(v.path(0).asText(), Size(v.path(1).asDouble(), v.path(2).asDouble(), v.path(3).asDouble()))
-            }
+        val zones = row.value.path("zones").map { it.asText() }
         val claims =
-            row.value.path("s").mapNotNull { s ->
-                val charge = charges[s.path(0).asText()] ?: return@mapNotNull null
-                Claim(
-                    s.path(0).asText(),
-                    s.path(1).asInt(),
-                    s.path(2).asInt(),
-                    s.path(3).asText(),
-                    s.path(4).asLong(),
-                    s.path(6).asText(""),
-                    charge,
-                    Phase.SENT,
-                ).also {
-                    it.lost = s.path(5).asInt() == 1
-                    it.claimedAt = ctx.now
+            row.value.path("jobs").properties().flatMap { (id, v) ->
+                val charge = Charge(v.path(0).asText(), Size(v.path(1).asDouble(), v.path(2).asDouble(), v.path(3).asDouble()))
+                v.path(4).map { s ->
+                    val zone = zones.getOrElse(s.path(4).asInt()) { "" }
+                    Claim(id, s.path(0).asInt(), s.path(1).asInt(), s.path(2).asText(), s.path(3).asLong(), zone, charge, Phase.SENT).also {
+                        it.lost = s.path(5).asInt() == 1
+                        it.claimedAt = ctx.now
+                    }
                 }
             }
-        val round = Round(number, claims)
+        val round = Round(row.key.substringAfter('/'), row.value.path("n").asText(), claims)
         round.stamp = row.stamp
-        rounds[number] = round
+        rounds[round.slot] = round
         claims.forEach { claim ->
             claim.round = round
             if (claim.lost) {
@@ -365,20 +407,33 @@
                 }
             }
         }
-        for (round in rounds.values) round.claims.filter { !it.ended }.forEach { jobs[it.job]?.claims?.put(it.task, it) }
+        for (round in rounds.values) {
+            round.claims.filter { !it.ended }.forEach { claim ->
+                jobs[claim.job]?.let {
+                    it.claims.put(claim.task, claim)
+                    it.taken.set(claim.task)
+                }
+            }
+        }
         jobs.values.toList().forEach { if (it.complete) finish(it, Standing.DONE) }
     }
 
     // --- lazy writes
 
     fun tick() {
-        jobs.values.forEach { flush(it) }
         if (ctx.now - lastCleanAt < CLEAN_S) return
         lastCleanAt = ctx.now
-        val finished = rounds.values.filter { it.stamp > 0 && !it.writing && it.claims.all(::settled) }.take(ctx.settings.store.txnOps)
-        if (finished.isNotEmpty()) remove(finished)
+        jobs.values.forEach { flush(it) }
+        for (round in rounds.values) {
+            if (round.stamp > 0 && !round.writing && round.settledAt == null && round.claims.all(::settled)) {
+                round.settledAt = ctx.now
+                spare.addLast(round)
+            }
+        }
+        val unused = spare.takeWhile { ctx.now > (it.settledAt ?: ctx.now) + ctx.settings.workers.reportS }.take(ctx.settings.store.txnOps)
+        if (unused.isNotEmpty()) remove(unused)
         rounds.values
-            .filter { it.stale && it.stamp > 0 && !it.writing }
+            .filter { it.stale && it.stamp > 0 && !it.writing && it.settledAt == null }
             .take(2)
             .forEach { rewrite(it) }
     }
@@ -393,10 +448,13 @@
     }
 
     private fun remove(list: List<Round>) {
-        list.forEach { it.writing = true }
-        val txn = Txn(listOf(fence()), list.map { Op.Delete("round/${it.number}") })
+        list.forEach {
+            it.writing = true
+            spare.remove(it)
+        }
+        val txn = Txn(listOf(fence()), list.map { Op.Delete("round/${it.slot}") })
         store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
-            if (result is TxnResult.Done) list.forEach { rounds.remove(it.number) } else leadership.stepDown("its term has been passed")
+            if (result is TxnResult.Done) list.forEach { rounds.remove(it.slot) } else leadership.stepDown("its term has been passed")
         }
     }
 
@@ -404,7 +462,7 @@
         round.writing = true
         round.stale = false
         val txn =
-            Txn(listOf(fence(), Condition("round/${round.number}", round.stamp)), listOf(Op.Put("round/${round.number}", encode(round))))
+            Txn(listOf(fence(), Condition("round/${round.slot}", round.stamp)), listOf(Op.Put("round/${round.slot}", encode(round))))
         store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
             round.writing = false
             when (result) {
@@ -416,7 +474,7 @@
                     if (Leadership.TERM in result.failed) {
                         leadership.stepDown("its term has been passed")
                     } else {
-                        store.get("round/${round.number}", Urgency.CLEANUP) { read ->
+                        store.get("round/${round.slot}", Urgency.CLEANUP) { read ->
                             (read as? burlridge.store.Read.Found)?.let { round.stamp = it.value.stamp }
                             round.stale = true
                         }
@@ -430,9 +488,13 @@
         }
     }
 
+    /**
+     * An end that is not durable yet is kept by its worker, unreaped, and a task started again there or elsewhere would end at
+     * once: so progress is written late, and for a job that is over before then not at all.
+     */
     private fun flush(job: Job) {
-        if (job.flushing || job.ending != null || ctx.now - job.lastFlushAt < ctx.settings.workers.reportS) return
-        if (job.done.cardinality() == job.durable.cardinality()) return
+        if (job.flushing || job.ending != null || flushing >= MOST_FLUSHES) return
+        if (job.done.cardinality() == job.durable.cardinality() || ctx.now < job.unwrittenSince + ctx.settings.workers.leaseS) return
         val fresh = job.done.clone() as BitSet
         fresh.andNot(job.durable)
         val chunk = fresh.nextSetBit(0) / CHUNK
@@ -440,11 +502,13 @@
         val key = "prog/${job.spec.id}/$chunk"
         val value = Json.obj { put("bits", Base64.getEncoder().encodeToString(written.toByteArray())) }
         job.flushing = true
-        job.lastFlushAt = ctx.now
+        flushing++
+        job.unwrittenSince = ctx.now
         val txn = Txn(listOf(fence(), Condition("live/${job.spec.id}", job.stamp)), listOf(Op.Put(key, value)))
         job.progress.putIfAbsent(chunk, 0L)
         store.ensure(txn, Urgency.FINISH, stillMine(leadership.term)) { result ->
             job.flushing = false
+            flushing--
             when {
                 result is TxnResult.Done -> written.stream().forEach { job.durable.set(chunk * CHUNK + it) }
                 result is TxnResult.Conflict && Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
@@ -457,5 +521,11 @@
         const val CHUNK = 32_768
         private const val ENDS_KEPT = 20_000L
         private const val CLEAN_S = 1.0
+        private const val MOST_FLUSHES = 4
+        private const val CONDITIONS_AN_OP = 4
+
+        /** What a start and a job's charge take of a row, with room to spare. */
+        private const val BYTES_A_START = 54
+        private const val BYTES_A_JOB = 250
     }
 }
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -57,8 +57,14 @@
     /** True while no other member can have been elected. */
     val standing: Boolean get() = leading && ctx.now < renewedAt + ttlS * (1 - DRIFT) - MARGIN_S
 
-    /** True while this leader may answer workers, a while beyond [standing]. */
-    val answering: Boolean get() = leading && ctx.now < renewedAt + answerBoundS * (1 - DRIFT)
+    /**
+     * True while this leader may answer workers, a while beyond [standing]: through an outage that all members share. One that
+     * hears neither the state service nor any member is cut off itself, and its workers are better off with whoever follows.
+     */
+    val answering: Boolean
+        get() = leading && ctx.now < renewedAt + answerBoundS * (1 - DRIFT) && (standing || settings.others.isEmpty() || !isolated)
+    private val isolated: Boolean get() = ctx.now > peerHeardAt + ttlS
+    private var peerHeardAt = 0.0
 
     /** No other member can be answering workers by an earlier term after this time. */
     val othersAnswerUntil: Double get() = if (silentPeers.size == settings.others.size) silentSince else electedAt + answerBoundS
@@ -222,6 +228,7 @@
     }
 
     fun heard(status: PeerMessage.Status) {
+        peerHeardAt = ctx.now
         if (status.leading) learn(status.from, status.term)
         if (leading && !status.answering && status.term >= term && silentPeers.add(status.from)) silentSince = ctx.now
     }
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -2,6 +2,7 @@
 
 import burlridge.app.Context
 import burlridge.fleet.Fleet
+import burlridge.fleet.Offer
 import burlridge.intake.JobSpec
 import burlridge.intake.Size
 import burlridge.intent.Charge
@@ -31,59 +32,124 @@
             .associate { it.lane to it.withinS }
     private val sampleSize = ctx.settings.operator.sample
 
+    /** A machine with room, and what of it is free. */
     private class Room(
         val machine: Machine,
         val whole: Size,
         var free: Size,
     )
 
-    /** One round: as many waiting tasks as there is room for, claimed in one row. */
-    fun round() {
-        val catalog = fleet.catalog ?: return
-        val rooms =
-            workers.machines.values.filter { usable(it) }.mapNotNull { m ->
-                catalog.types[m.type]?.let { Room(m, it.size, free(m, it.size)) }
-            }
-        if (rooms.isEmpty()) return
+    /** The machines with room of one type, zone and kind. */
+    private class Pool(
+        val whole: Size,
+        val first: Machine,
+        val rooms: ArrayList<Room> = ArrayList(),
+    )
+
+    /** What a job asks of a machine; where one job found no room, another that asks for no less need not look. */
+    private data class Ask(
+        val types: List<String>?,
+        val zone: String?,
+        val spot: Boolean,
+        val size: Size,
+    )
+
+    /** What one round has used up and found out. */
+    private class Draft(
+        val pools: List<Pool>,
+        val used: HashMap<String, Size>,
+    ) {
         val claims = ArrayList<Claim>()
-        val used = HashMap(ledger.used)
-        for (job in queue()) {
-            if (claims.size >= MOST_STARTS) break
-            place(job, rooms, claims, used)
+        val jobs = HashSet<String>()
+        val vain = ArrayList<Ask>()
+
+        fun inVain(spec: JobSpec): Boolean =
+            vain.any { it.types == spec.types && it.zone == spec.zone && (it.spot || !spec.spot) && it.size.fits(spec.size) }
+    }
+
+    /** One round: as many waiting tasks as there is room for and one row holds. */
+    fun round() {
+        if (ledger.claiming >= MOST_OPEN_ROUNDS) return
+        val queue = queue()
+        if (queue.isEmpty()) return
+        val draft = Draft(pools(), HashMap(ledger.used))
+        if (draft.pools.isEmpty()) return
+        for (job in queue) {
+            if (draft.claims.size >= ledger.mostStarts || draft.jobs.size >= ledger.mostJobs) break
+            if (!draft.inVain(job.spec)) place(job, draft)
         }
-        if (claims.isNotEmpty()) {
-            claims.groupBy { it.job }.forEach { (job, starts) -> ctx.debug("claims ${starts.size} starts of $job") }
-            ledger.claim(claims) { granted ->
-                if (granted) {
-                    claims.map { it.machine }.distinct().forEach { id ->
-                        workers.machines[id]?.let(workers::command)
-                    }
+        val claims = draft.claims
+        if (claims.isEmpty()) return
+        ctx.debug("claims ${claims.size} starts of ${draft.jobs.size} jobs")
+        ledger.claim(claims) { granted ->
+            if (granted) {
+                claims.map { it.machine }.distinct().forEach { id ->
+                    workers.machines[id]?.let(workers::command)
                 }
             }
         }
     }
 
+    /** The smallest machines first: a task that fits one should not break up a larger one. */
+    private fun pools(): List<Pool> {
+        val catalog = fleet.catalog ?: return emptyList()
+        val pools = HashMap<Offer, Pool>()
+        for (machine in workers.machines.values) {
+            if (!usable(machine)) continue
+            val whole = catalog.types[machine.type]?.size ?: continue
+            val free = free(machine, whole)
+            if (free.cpus <= 0 || free.memoryGb <= 0) continue
+            pools.getOrPut(Offer(machine.type, machine.zone, machine.spot)) { Pool(whole, machine) }.rooms += Room(machine, whole, free)
+        }
+        return pools.values.sortedWith(compareBy({ it.whole.gpus }, { it.whole.cpus }, { it.whole.memoryGb }))
+    }
+
     private fun usable(machine: Machine): Boolean =
-        machine.up && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
+        machine.up && machine.hears && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
             !workers.silent(machine) &&
             ctx.now >= machine.nextCommandAt
 
-    fun free(
+    private fun free(
         machine: Machine,
         whole: Size,
     ): Size {
-        var free = whole
-        ledger.byMachine[machine.id]?.values?.forEach { free -= it.charge.size }
+        var free = whole - ledger.usedOn(machine.id)
         machine.strays.forEach { piece -> ledger.jobs[piece.substringBefore('/')]?.let { free -= it.spec.size } }
         return free
     }
 
-    /** Highest priority first; within it the team that uses the least of its share; within a team by [rank]. */
+    private class Turn(
+        val job: Job,
+        val late: Boolean,
+        val load: Double,
+        val rank: Double,
+        val ageS: Double,
+    )
+
+    /**
+     * Highest priority first; within it the team that uses the least of its share; within a team by [rank]. Jobs that would be
+     * late anyway give way, but waiting must not be for ever: a job that has not begun for long goes before all others, and of
+     * the late ones the oldest has every fourth turn.
+     */
     fun queue(): List<Job> {
-        val waiting = ledger.jobs.values.filter { it.ending == null && it.done.cardinality() + it.claims.size < it.spec.tasks }
-        return waiting.sortedWith(
-            compareBy<Job> { it.spec.priority }.thenBy { tooLate(it) }.thenBy { load(it.spec.team) }.thenBy { rank(it) },
-        )
+        val turns =
+            ledger.jobs.values.filter { it.ending == null && it.waiting > 0 }.map {
+                Turn(it, tooLate(it), load(it.spec.team), rank(it), ageS(it))
+            }
+        if (turns.isEmpty()) return emptyList()
+        val (starved, others) = turns.partition { !it.job.begun && it.ageS > MUST_BEGIN_S / 2 }
+        val (late, timely) = others.partition { it.late }
+        val inTurn =
+            timely.sortedWith(compareBy<Turn> { it.job.spec.priority }.thenBy { it.load }.thenBy { it.rank }).toMutableList()
+        val oldest = ArrayDeque(late.sortedByDescending { it.ageS })
+        val order = starved.sortedByDescending { it.ageS }.toMutableList()
+        while (inTurn.isNotEmpty() || oldest.isNotEmpty()) {
+            val next = inTurn.take(TURNS_OF_TIMELY)
+            order += next
+            repeat(next.size) { inTurn.removeAt(0) }
+            oldest.removeFirstOrNull()?.let { order += it }
+        }
+        return order.map { it.job }
     }
 
     /** When the aims want a job complete, counted from its submission; null where none says. */
@@ -108,42 +174,71 @@
         return maxOf(if (share.cpus > 0) used.cpus / share.cpus else 0.0, if (share.gpus > 0) used.gpus / share.gpus else 0.0)
     }
 
+    /** Places what it can of [job], in the smallest type of machine that has room for it. */
     private fun place(
         job: Job,
-        rooms: List<Room>,
-        claims: MutableList<Claim>,
-        used: HashMap<String, Size>,
+        draft: Draft,
     ) {
         val spec = job.spec
-        val team = ctx.settings.teams[spec.team] ?: return
         val zones = HashMap<String, Int>()
-        job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
-        val suitable = rooms.filter { allows(spec, it.machine) }
-        if (suitable.isEmpty()) return
-        var task = job.done.nextClearBit(0)
-        while (task < spec.tasks && claims.size < MOST_STARTS) {
-            if (job.waits(task, ctx.now) && !workers.strays("${spec.id}/$task")) {
-                val after = (used[spec.team] ?: Size.NONE) + spec.size
-                if ((team.cpusMax > 0 && after.cpus > team.cpusMax) || (team.gpusMax > 0 && after.gpus > team.gpusMax)) return
-                val room = choose(suitable.filter { spec.size.fits(it.free) && zoneAllows(spec, zones, it.machine.zone) }, spec) ?: return
+        if (spec.oneZone || spec.spread) job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
+        var task = next(job, 0)
+        val groups = draft.pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }.groupBy { it.first.type }
+        for (group in groups.values) {
+            if (task < 0) return
+            val rooms = group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }.toMutableList()
+            while (task >= 0 && draft.claims.size < ledger.mostStarts) {
+                val after = (draft.used[spec.team] ?: Size.NONE) + spec.size
+                if (overLimit(spec.team, after)) return
+                val room = choose(rooms, spec, zones) ?: break
                 room.free -= spec.size
-                used[spec.team] = after
+                draft.used[spec.team] = after
+                draft.jobs += spec.id
                 zones.merge(room.machine.zone, 1, Int::plus)
-                claims +=
-                    Claim(
-                        spec.id,
-                        task,
-                        job.lastRun.get(task) + 1,
-                        room.machine.id,
-                        room.machine.session,
-                        room.machine.zone,
-                        Charge(spec.team, spec.size),
-                    )
+                draft.claims += claim(job, task, room.machine)
+                task = next(job, task + 1)
             }
-            task = job.done.nextClearBit(task + 1)
         }
+        if (task >= 0 && draft.claims.size < ledger.mostStarts && !spec.oneZone && !spec.spread) {
+            draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
+        }
+    }
+
+    private fun overLimit(
+        name: String,
+        use: Size,
+    ): Boolean {
+        val team = ctx.settings.teams[name] ?: return true
+        return (team.cpusMax > 0 && use.cpus > team.cpusMax) || (team.gpusMax > 0 && use.gpus > team.gpusMax)
+    }
+
+    /** The next task from [from] on that may be placed now, or -1. */
+    private fun next(
+        job: Job,
+        from: Int,
+    ): Int {
+        var task = job.taken.nextClearBit(from)
+        while (task < job.spec.tasks) {
+            if (job.waits(task, ctx.now) && !workers.strays("${job.spec.id}/$task")) return task
+            task = job.taken.nextClearBit(task + 1)
+        }
+        return -1
     }
 
+    private fun claim(
+        job: Job,
+        task: Int,
+        machine: Machine,
+    ) = Claim(
+        job.spec.id,
+        task,
+        job.lastRun.get(task) + 1,
+        machine.id,
+        machine.session,
+        machine.zone,
+        Charge(job.spec.team, job.spec.size),
+    )
+
     private fun allows(
         spec: JobSpec,
         machine: Machine,
@@ -160,17 +255,55 @@
         return !spec.spread || (zones[zone] ?: 0) < (spec.tasks + 1) / 2
     }
 
-    /** Best fit over a sample of the machines with room; a machine that holds the image goes before one that does not. */
+    /** Best fit over a sample drawn from [rooms]; what is drawn and has no room any more is struck out. */
     private fun choose(
-        withRoom: List<Room>,
+        rooms: MutableList<Room>,
         spec: JobSpec,
+        zones: Map<String, Int>,
     ): Room? {
-        if (withRoom.isEmpty()) return null
         // The design samples blindly; a lane with a wait aim cannot afford a fetch where another machine holds the image.
-        val holders = if (spec.lane in urgentLanes) withRoom.filter { spec.image in it.machine.images } else emptyList()
-        val among = holders.ifEmpty { withRoom }
-        val sample = if (among.size <= sampleSize) among else among.shuffled(ctx.random).take(sampleSize)
-        return sample.minByOrNull { leftover(it, spec) }
+        if (spec.lane in urgentLanes) {
+            val holders = rooms.filter { spec.image in it.machine.images && fits(spec, zones, it) }
+            if (holders.isNotEmpty()) return sample(holders.toMutableList(), spec, zones)
+        }
+        return sample(rooms, spec, zones)
+    }
+
+    private fun fits(
+        spec: JobSpec,
+        zones: Map<String, Int>,
+        room: Room,
+    ): Boolean = spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
+
+    private fun sample(
+        rooms: MutableList<Room>,
+        spec: JobSpec,
+        zones: Map<String, Int>,
+    ): Room? {
+        var best: Room? = null
+        var least = Double.MAX_VALUE
+        var drawn = 0
+        // Drawn ones go to the end, so that none is drawn twice.
+        var open = rooms.size
+        while (drawn < sampleSize && open > 0) {
+            val at = ctx.random.nextInt(open)
+            val room = rooms[at]
+            open--
+            rooms[at] = rooms[open]
+            rooms[open] = room
+            if (!fits(spec, zones, room)) {
+                rooms[open] = rooms.last()
+                rooms.removeLast()
+                continue
+            }
+            drawn++
+            val left = leftover(room, spec)
+            if (left < least) {
+                best = room
+                least = left
+            }
+        }
+        return best
     }
 
     private fun leftover(
@@ -203,7 +336,11 @@
         const val SURE_PART = 0.3
         const val GPU_WEIGHT = 16.0
 
-        /** A round's row stays well under the smallest sensible value size. */
-        const val MOST_STARTS = 80
+        /** By the protocol every job begins within four minutes. */
+        const val MUST_BEGIN_S = 240.0
+        const val TURNS_OF_TIMELY = 3
+
+        /** Rounds whose row is still being written; the tasks that gather meanwhile share the next. */
+        const val MOST_OPEN_ROUNDS = 3
     }
 }
--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -72,8 +72,10 @@
     private val ctx: Context,
 ) {
     private val settings = ctx.settings
-    private val writes = Bucket(settings.store.writeRps / settings.controllers)
-    private val requests = Bucket(settings.store.rps / settings.controllers)
+
+    // Users come in bursts, and hardly to all members in the same second: each may use more than its part for a moment.
+    private val writes = Bucket(settings.store.writeRps / BURST_PART)
+    private val requests = Bucket(settings.store.rps / BURST_PART)
     private val queues = Urgency.entries.associateWith { ArrayDeque<Waiting>() }
     private var leads = false
     private var lastServedAt = 0.0
@@ -318,10 +320,15 @@
             while (queue.isNotEmpty() && ctx.now - queue.first().since > queue.first().patienceS) queue.removeFirst().drop()
         }
         if (ctx.now < pausedUntil) return
+        var mayWrite = true
         for (queue in queues.values) {
             while (queue.isNotEmpty()) {
                 val next = queue.first()
-                if (next.cost > 0 && !writes.take(next.cost.toDouble())) return
+                if (next.cost > 0 && !(mayWrite && writes.take(next.cost.toDouble()))) {
+                    // Nothing less urgent may write before it; reads need not wait for that.
+                    mayWrite = false
+                    break
+                }
                 if (!requests.take(1.0)) return
                 queue.removeFirst()
                 next.send()
@@ -337,6 +344,9 @@
         const val PATIENT_S = 1e9
         const val RETRY_S = 0.25
 
+        /** A member's burst, as a part of the shared limits of a second. */
+        const val BURST_PART = 5
+
         /** The leader's part of the shared limits; the other members write submissions only. */
         const val LEADER_PART = 0.6
     }
--- a/src/main/kotlin/burlridge/store/WriteBudget.kt
+++ b/src/main/kotlin/burlridge/store/WriteBudget.kt
@@ -1,24 +1,23 @@
 package burlridge.store
 
-/** A bucket of permits that refills at [rate] a second and holds one second's worth. */
+/** A bucket of permits that refills at a rate and holds one second's worth, or [burst] where that is more. */
 internal class Bucket(
-    private var rate: Double,
-    private var level: Double = rate,
+    private val burst: Double,
 ) {
+    private var level = burst
     private var at = 0.0
 
     fun refill(
         now: Double,
-        newRate: Double = rate,
+        rate: Double,
     ) {
-        rate = newRate
-        level = minOf(maxOf(rate, 1.0), level + (now - at) * rate)
+        level = minOf(maxOf(rate, burst), level + (now - at) * rate)
         at = now
     }
 
     fun take(amount: Double): Boolean {
         // A transaction larger than the bucket goes when the bucket is full.
-        if (level < minOf(amount, maxOf(rate, 1.0))) return false
+        if (level < minOf(amount, burst)) return false
         level -= amount
         return true
     }
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -44,6 +44,15 @@
 
     /** The highest token under which a command of open outcome may still be on its way. */
     var openToken: Long = 0
+
+    /** The token that its worker must have seen before anything more is placed on it: only that shows that it hears us. */
+    var mustEcho: Long = 0
+
+    /** Since when it has reported without having seen [mustEcho]; null while it hears. */
+    var deafSince: Double? = null
+
+    /** The highest token under which a start was sent to it. */
+    var runToken: Long = 0
     var commanding: Boolean = false
     var nextCommandAt: Double = 0.0
     var refusals: Int = 0
@@ -59,4 +68,6 @@
     val images: LinkedHashSet<String> = LinkedHashSet()
 
     val up: Boolean get() = session > 0
+
+    val hears: Boolean get() = echoed >= mustEcho
 }
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -8,9 +8,11 @@
 import burlridge.intent.Claim
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
+import burlridge.intent.Standing
 import burlridge.leadership.Leadership
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ArrayNode
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
 
 /** Reports in, commands out; says when a claimed task is known to be gone from its machine. */
 internal class Workers(
@@ -24,12 +26,17 @@
     private var tokens = 0L
     var loaded: Boolean = false
 
+    /** How many machines run each task without a claim of ours; until it is halted such a task blocks any other start of it. */
+    private val strayCount = Object2IntOpenHashMap<String>()
+    private var sweepAt = 0.0
+
     /** Returned machines: their workers are gone, and a late report must not bring them back. */
     private val returned = HashSet<String>()
 
     fun clear() {
         machines.clear()
         returned.clear()
+        strayCount.clear()
         loaded = false
         tokens = 0
     }
@@ -39,10 +46,19 @@
         run: Int,
     ): String = "$piece@$run"
 
-    /** A task that a worker runs without a claim of ours; it is halted, and until then blocks any other start of it. */
     fun isReturned(id: String): Boolean = id in returned
 
-    fun strays(piece: String): Boolean = machines.values.any { !it.lapsed && piece in it.strays }
+    fun strays(piece: String): Boolean = strayCount.getInt(piece) > 0
+
+    private fun setStrays(
+        machine: Machine,
+        strays: Set<String>,
+    ) {
+        if (machine.strays.isEmpty() && strays.isEmpty()) return
+        machine.strays.forEach { if (strayCount.addTo(it, -1) <= 1) strayCount.removeInt(it) }
+        strays.forEach { strayCount.addTo(it, 1) }
+        machine.strays = strays
+    }
 
     private fun nextToken(): Long = (leadership.term shl TERM_SHIFT) + ++tokens
 
@@ -51,6 +67,8 @@
             Machine(id).also {
                 it.token = leadership.term shl TERM_SHIFT
                 it.openToken = it.token - 1
+                // A report alone may be a late copy, of a machine long gone: it must have heard of our term.
+                it.mustEcho = it.token
                 it.answeredAt = maxOf(ctx.now, leadership.othersAnswerUntil)
                 it.idleSince = ctx.now
             }
@@ -100,6 +118,7 @@
         machine.lapsed = false
         machine.echoed = maxOf(machine.echoed, report.path("baton").asLong())
         machine.lastReportAt = ctx.now
+        machine.deafSince = if (machine.hears) null else machine.deafSince ?: ctx.now
         machine.type = report.path("breed").asText(machine.type)
         machine.zone = report.path("yard").asText(machine.zone)
         machine.spot = report.path("loaners").asBoolean(machine.spot)
@@ -148,10 +167,12 @@
                 else -> seen(machine, claim, report)
             }
         }
-        machine.strays =
+        setStrays(
+            machine,
             machine.reported.values
                 .filter { !it.exited && ledger.byMachine[machine.id]?.get(it.piece)?.run != it.run }
-                .mapTo(HashSet()) { it.piece }
+                .mapTo(HashSet()) { it.piece },
+        )
         if (machine.idleSince > 0 && !ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
         if (machine.idleSince == 0.0 && ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
     }
@@ -282,7 +303,7 @@
             val claim = ledger.byMachine[machine.id]?.get(report.piece)?.takeIf { it.run == report.run }
             val job = report.piece.substringBefore('/')
             when {
-                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == burlridge.intent.Standing.WITHDRAWN -> {
+                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == Standing.WITHDRAWN -> {
                     orders.add(order("halt", report.piece, report.run, 0.0))
                 }
 
@@ -309,7 +330,15 @@
                 continue
             }
             val claim = ledger.byMachine[machine.id]?.get(report.piece)
-            if (claim == null || claim.run != report.run) orders.add(order("reap", report.piece, report.run))
+            if (claim != null && claim.run == report.run) continue
+            // A repeat of the start may still come, and after the reap it would count as new. One that is done ends at once
+            // again; any other must first be void, for it may run elsewhere by then, or be cancelled.
+            val harmless = report.cause == "done" && (job != null || ledger.end(name)?.standing == Standing.DONE)
+            if (!harmless && machine.echoed <= machine.runToken) {
+                if (machine.token <= machine.runToken) machine.token = nextToken()
+                continue
+            }
+            orders.add(order("reap", report.piece, report.run))
         }
     }
 
@@ -318,18 +347,12 @@
         val address = machine.address ?: return
         if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
         if (!leadership.standing) return
+        val claims = ledger.byMachine[machine.id]?.values
+        if (claims.isNullOrEmpty()) return
         val orders = Json.arr()
-        val starts =
-            ledger.byMachine[machine.id]
-                ?.values
-                ?.filter { it.phase == Phase.CLAIMED && it.session == machine.session }
-                .orEmpty()
-        val stops =
-            ledger.byMachine[machine.id]
-                ?.values
-                ?.filter { wantsStop(it) }
-                .orEmpty()
-        val fencing = machine.echoed <= machine.openToken && ledger.byMachine[machine.id]?.values?.any { it.phase == Phase.SENT } == true
+        val starts = if (machine.hears) claims.filter { it.phase == Phase.CLAIMED && it.session == machine.session } else emptyList()
+        val stops = claims.filter { wantsStop(it) }
+        val fencing = machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
         if (starts.isEmpty() && stops.isEmpty() && !fencing) return
         stops.forEach {
             it.stopSentAt = ctx.now
@@ -339,6 +362,7 @@
             it.phase = Phase.SENT
             orders.add(order("run", it.piece, it.run))
         }
+        if (starts.isNotEmpty()) machine.runToken = machine.token
         send(machine, address, orders, starts.take(MOST_ORDERS))
     }
 
@@ -386,6 +410,13 @@
                 outcome is Outcome.NotSent || answer?.status == 400 -> {
                     unsend(starts)
                     retryLater(machine)
+                    if (machine.refusals >= REFUSALS_TO_LEAVE) {
+                        // It may report and still not hear: what has not left goes elsewhere, and nothing more comes here before
+                        // its worker has seen a token that only an answer of ours can have brought.
+                        machine.token = nextToken()
+                        machine.mustEcho = machine.token
+                        withdrawUnsent(machine, "never sent, and its machine cannot be reached")
+                    }
                 }
 
                 else -> {
@@ -393,6 +424,7 @@
                     ctx.info("command to ${machine.id} has an unknown outcome; fencing it")
                     machine.openToken = maxOf(machine.openToken, token)
                     machine.token = nextToken()
+                    machine.mustEcho = machine.token
                     retryLater(machine)
                 }
             }
@@ -411,22 +443,28 @@
     // --- losses
 
     fun tick() {
+        if (ctx.now < sweepAt) return
+        sweepAt = ctx.now + times.reportS / SWEEPS_A_REPORT
         for (machine in machines.values.toList()) {
             if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
-            if (loaded && silent(machine)) withdrawUnsent(machine)
+            if (loaded && silent(machine)) withdrawUnsent(machine, "never sent, and its machine is silent")
+            if (loaded && !machine.hears) withdrawUnsent(machine, "never sent, and its machine does not hear")
             if (machine.recallAt != null) drain(machine)
             command(machine)
         }
     }
 
     /** A claim that never left and whose machine has gone quiet is taken back and placed elsewhere. */
-    private fun withdrawUnsent(machine: Machine) {
+    private fun withdrawUnsent(
+        machine: Machine,
+        reason: String,
+    ) {
         ledger.byMachine[machine.id]
             ?.values
             ?.filter {
                 it.phase == Phase.CLAIMED
             }?.toList()
-            ?.forEach { lose(it, "never sent, and its machine is silent") }
+            ?.forEach { lose(it, reason) }
     }
 
     /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
@@ -451,6 +489,7 @@
     private fun lapse(machine: Machine) {
         if (!loaded) return
         machine.lapsed = true
+        setStrays(machine, emptySet())
         loseAll(machine, "its worker's lease has lapsed")
     }
 
@@ -462,6 +501,7 @@
         ctx.info("machine ${machine.id} is gone: $reason")
         returned += machine.id
         machines.remove(machine.id)
+        setStrays(machine, emptySet())
         loseAll(machine, reason)
         ledger.byMachine.remove(machine.id)
     }
@@ -470,6 +510,8 @@
         const val TERM_SHIFT = 20
         private const val MOST_ORDERS = 100
         private const val RETRY_S = 0.5
+        private const val REFUSALS_TO_LEAVE = 2
+        private const val SWEEPS_A_REPORT = 10
         private const val SILENT_REPORTS = 2.5
         private const val FAILURES_TO_QUARANTINE = 2
         private const val IMAGES_REMEMBERED = 6
--- a/src/test/kotlin/burlridge/sim/Rules.kt
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -88,6 +88,7 @@
     ) {
         starts++
         val job = piece.substringBefore('/')
+        firstStarts.putIfAbsent(job, clock.now)
         val spec = jobs[job] ?: return breach("wrong_place", "$piece belongs to no job")
         val others = on.values.flatten()
         on[piece]?.firstOrNull()?.let { breach("ran_twice", "$piece starts on ${worker.id} while on ${it.machine.id}") }
@@ -140,6 +141,11 @@
         if (done) completed.getOrPut(piece.substringBefore('/')) { HashSet() } += piece.substringAfter('/').toInt()
     }
 
+    private val firstStarts = HashMap<String, Double>()
+
+    /** When the first task of [job] started; -1 if none has. */
+    fun firstStart(job: String): Double = firstStarts[job] ?: -1.0
+
     fun hasCompleted(piece: String): Boolean = completed[piece.substringBefore('/')]?.contains(piece.substringAfter('/').toInt()) == true
 
     /** Called now and then: tasks of cancelled jobs must be gone in time. */
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -34,6 +34,17 @@
         watchLease()
     }
 
+    /** Back at once with nothing on it, before anyone can have noticed. */
+    fun restart() {
+        tasks.values.forEach { leave(it, false) }
+        tasks.clear()
+        session++
+        answeredSentAt = world.clock.now
+        changed = true
+    }
+
+    fun has(piece: String): Boolean = tasks.values.any { it.piece == piece && it.standing != "exited" }
+
     fun kill() {
         alive = false
         tasks.values.forEach { leave(it, false) }
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -23,6 +23,9 @@
     seed: Int,
     val members: List<String> = listOf("drover-0", "drover-1", "drover-2"),
     private val waitAim: Double = 10.0,
+    val types: Map<String, TypeSpec> = mapOf("small" to TypeSpec(4.0, 16.0, 6), "big" to TypeSpec(16.0, 64.0, 3)),
+    /** Guaranteed to the team that is guaranteed something; 0 for a deployment that guarantees nothing. */
+    private val guaranteed: Double = 24.0,
 ) {
     val clock = Clock()
     val random = Random(seed)
@@ -30,7 +33,6 @@
     val leaseS = 24.0
     val cancelS = 54.0
     val zones = listOf("a", "b")
-    val types = mapOf("small" to TypeSpec(4.0, 16.0, 6), "big" to TypeSpec(16.0, 64.0, 3))
     val rules = Rules(clock, cancelS, mapOf("crew-x" to 48.0, "crew-y" to 0.0))
     val state = StateService(clock)
     val cloud = CloudService(this)
@@ -43,6 +45,14 @@
     /** Pairs of hosts that cannot reach each other, and until when. */
     private val cuts = HashMap<Set<String>, Double>()
 
+    /** Machines whose reports arrive, while neither answers nor commands reach them; and until when. */
+    private val deaf = HashMap<String, Double>()
+
+    /** How late a further copy of a report comes, to any member; null where none does. */
+    var copyAfter: (machine: String) -> Double? = { null }
+    var calls = 0
+        private set
+
     /** Share of calls whose request, or whose answer, is held back until long after the caller gave up. */
     var lossy = 0.0
     var lateS = 30.0
@@ -62,7 +72,7 @@
             """{"member":"$name","zone":"a","serve_on":"10.0.0.${members.indexOf(name) + 1}:80","peer_bind":"10.0.0.1:81",
             "others":[${others.joinToString(",") { "{\"member\":\"$it\",\"zone\":\"a\",\"endpoint\":\"10.0.0.9:1\"}" }}],
             "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
-            "params":{"teams":[{"name":"crew-x","cpus":24,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
+            "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
             "objectives":[{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}],
             "workers":{"report_s":$reportS,"lease_s":$leaseS,"cancel_s":$cancelS},
             "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8},"cloud":{"rps":8,"list_lag_s":3}}}""",
@@ -104,6 +114,15 @@
         cuts[setOf(a, b)] = clock.now + seconds
     }
 
+    fun deafen(
+        machine: String,
+        seconds: Double,
+    ) {
+        deaf[machine] = clock.now + seconds
+    }
+
+    private fun isDeaf(machine: String): Boolean = (deaf[machine] ?: 0.0) > clock.now
+
     private fun isCut(
         a: String,
         b: String,
@@ -140,6 +159,7 @@
         name: String,
         effect: Effect.Call,
     ) {
+        calls++
         val life = lives[name]
         var settled = false
 
@@ -162,7 +182,7 @@
         val fate = if (host == "nobody") Fate.REFUSED else drawn
         clock.after(effect.timeoutS) { settle(Outcome.Unknown) }
         when {
-            isCut(name, host) && fate != Fate.LATE -> {
+            isDeaf(host) || (isCut(name, host) && fate != Fate.LATE) -> {
                 clock.after(1.0) { settle(Outcome.NotSent) }
             }
 
@@ -213,10 +233,14 @@
             then(status, text)
         }
         clock.after(timeoutS) { settle(0, "") }
-        if (isCut(from, name) || controllers[name] == null) return clock.after(0.5) { settle(0, "") }
+        val cut = isCut(from, name)
+        if (cut || controllers[name] == null) return clock.after(0.5) { settle(0, "") }
         val id = nextRequest++
-        openRequests[name to id] = { status, text -> clock.after(0.001) { if (!isCut(from, name)) settle(status, text) } }
+        openRequests[name to id] = { status, text -> clock.after(0.001) { if (!isCut(from, name) && !isDeaf(from)) settle(status, text) } }
         step(name, Input.Request(id, method, path, "", body))
+        if (path == "/agent/beat") {
+            copyAfter(from)?.let { clock.after(it) { step(members.random(random), Input.Request(nextRequest++, method, path, "", body)) } }
+        }
     }
 
     // --- users
