Fuller machines first, idle ones back sooner in large fleets, dear ones for pressing work

Ruled out: churn by lost spot machines (32 tasks). Now, where idle machines are returned: machines in use are sampled first; patience falls with the root of the fleet, half of it for ordinary machines; offers at twice the cheapest price only for jobs that cannot wait.

--- a/src/main/kotlin/burlridge/app/Context.kt
+++ b/src/main/kotlin/burlridge/app/Context.kt
@@ -2,6 +2,7 @@
 
 import burlridge.peer.PeerMessage
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap
 import kotlin.random.Random
 
 /** What every slice shares inside one step: the time given, the effects so far and the calls that wait for an outcome. */
@@ -30,6 +31,16 @@
         override fun compareTo(other: Debt): Int = compareValuesBy(this, other, Debt::at, Debt::order)
     }
 
+    /** How much of what has been done; the figures that grow with a deployment. */
+    val work: Object2LongOpenHashMap<String> = Object2LongOpenHashMap()
+
+    fun count(
+        what: String,
+        amount: Int = 1,
+    ) {
+        work.addTo(what, amount.toLong())
+    }
+
     fun begin(
         now: Double,
         wallMs: Long,
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -27,6 +27,7 @@
     private val placement = Placement(ctx, ledger, workers, fleet)
     private val peers = Peers(ctx)
     private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
+    val work: Map<String, Long> get() = ctx.work
     val leads: Boolean get() = leadership.standing && intake.loaded
     private val relay = Relay(ctx, peers)
     private var announceAt = 0.0
--- a/src/main/kotlin/burlridge/app/Metrics.kt
+++ b/src/main/kotlin/burlridge/app/Metrics.kt
@@ -44,5 +44,11 @@
         }
     }
 
-    fun line(): String = counters.entries.sortedBy { it.key }.joinToString(" ") { "${it.key}=${it.value.count().toLong()}" }
+    /** One line for the log; [work] is what the core has counted. */
+    fun line(work: Map<String, Long>): String {
+        work.forEach { (name, amount) ->
+            counters.getOrPut("work.$name") { registry.counter("work.$name") }.let { it.increment(amount - it.count()) }
+        }
+        return counters.entries.sortedBy { it.key }.joinToString(" ") { "${it.key}=${it.value.count().toLong()}" }
+    }
 }
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -48,7 +48,7 @@
     private fun logMetrics() {
         if (System.nanoTime() - metricsAt < METRICS_NS) return
         metricsAt = System.nanoTime()
-        log.debug("metrics: {}", metrics.line())
+        log.debug("metrics: {}", metrics.line(controller.work))
     }
 
     /** A short life with itself as state service, cloud and worker, so that every path of I/O is walked once. */
@@ -112,6 +112,6 @@
         const val STATUS_FAILED = 70
 
         /** Connections kept open for later calls, as a part of all that may be open. */
-        const val IDLE_PART = 4
+        const val IDLE_PART = 8
     }
 }
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -2,6 +2,7 @@
 
 import burlridge.app.Context
 import burlridge.intake.JobSpec
+import burlridge.intent.Job
 import burlridge.intent.Ledger
 
 /** How many tasks want room now, and how many more should find room at once. */
@@ -21,11 +22,18 @@
         ctx.settings.teams.values
             .none { it.cpus > 0 || it.gpus > 0 }
 
-    fun wanted(): List<Pair<JobSpec, Int>> {
+    /** Tasks of one kind that want room; [pressing] if they cannot wait for cheap machines to fall free. */
+    data class Need(
+        val spec: JobSpec,
+        val tasks: Int,
+        val pressing: Boolean,
+    )
+
+    fun wanted(types: Catalog): List<Need> {
         val now = ledger.jobs.values.filter { it.ending == null }
         now.forEach { if (seen.add(it.spec.id)) remember(it.spec) }
-        val waiting = now.map { it.spec to it.waiting }.filter { it.second > 0 }
-        return waiting.sortedBy { it.first.priority } + headroom()
+        val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, pressing(it, types)) }
+        return waiting.sortedBy { it.spec.priority } + headroom()
     }
 
     private fun remember(spec: JobSpec) {
@@ -43,14 +51,32 @@
                 ?.name
         }
 
+    /** Whether a machine asked for now is up only just in time for what the aims say of this job's lane. */
+    private fun pressing(
+        job: Job,
+        types: Catalog,
+    ): Boolean {
+        val spec = job.spec
+        val aims = ctx.settings.objectives.filter { it.lane == spec.lane }
+        val startBy = aims.filter { it.kind == "wait" }.mapNotNull { it.withinS }
+        val doneBy = aims.filter { it.kind == "finished" }.mapNotNull { it.withinS } + listOfNotNull(spec.deadlineS)
+        val latest = (startBy + doneBy.map { it - spec.estimateS * LONG_RUN }).minOrNull() ?: return true
+        val boot = types.allowed(spec).minOfOrNull { it.bootS } ?: 0.0
+        return (ctx.wallMs - job.submittedMs) / 1000.0 > latest - boot * LONG_BOOT
+    }
+
     /** For lanes with a wait aim, room for a job of the usual size. */
-    private fun headroom(): List<Pair<JobSpec, Int>> =
+    private fun headroom(): List<Need> =
         waits.mapNotNull { aim ->
             val list = recent[aim.lane]?.takeIf { it.isNotEmpty() } ?: return@mapNotNull null
-            list.last() to Math.ceil(list.map { it.tasks }.average() * ctx.settings.operator.headroom).toInt()
+            Need(list.last(), Math.ceil(list.map { it.tasks }.average() * ctx.settings.operator.headroom).toInt(), pressing = false)
         }
 
     private companion object {
         const val REMEMBERED = 10
+
+        /** Estimates are often wrong by half, and boots take up to one and a half times as long as usual. */
+        const val LONG_RUN = 1.5
+        const val LONG_BOOT = 1.5
     }
 }
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -64,6 +64,7 @@
     private var planAt = 0.0
     private val idleS = ctx.settings.workers.reportS * ctx.settings.operator.idleReports
     private val demand = Demand(ctx, ledger)
+    val returnsIdle: Boolean get() = !demand.lavish
 
     fun clear() {
         rentals.clear()
@@ -418,16 +419,16 @@
     private fun rentNeeded(types: Catalog) {
         val slots = coming(types)
         val wanted = LinkedHashMap<Offer, Int>()
-        val needs = demand.wanted()
+        val needs = demand.wanted(types)
         val scarce = demand.indispensable(types)
-        for ((spec, tasks) in needs) {
+        for ((spec, tasks, pressing) in needs) {
             var left = tasks
             for (slot in slots) {
                 if (left == 0) break
                 if (slot.allows(spec)) left -= slot.take(spec.size, left)
             }
             while (left > 0) {
-                val offer = cheapest(types, spec, scarce) { (wanted[it] ?: 0) < MOST_PER_CALL && open(it) } ?: break
+                val offer = cheapest(types, spec, scarce, pressing) { (wanted[it] ?: 0) < MOST_PER_CALL && open(it) } ?: break
                 val whole = types.types.getValue(offer.type).size
                 wanted.merge(offer, 1, Int::plus)
                 val slot = Slot(offer.type, offer.zone, offer.spot, whole)
@@ -479,25 +480,29 @@
         }
     }
 
+    /**
+     * The cheapest offer for a task of [spec] that is to be had. One that costs twice as much as the cheapest there is, to be
+     * had or not, is taken only for what is [pressing]: the rest waits for cheap machines to fall free.
+     */
     private fun cheapest(
         types: Catalog,
         spec: JobSpec,
         scarce: Set<String>,
+        pressing: Boolean,
         available: (Offer) -> Boolean,
     ): Offer? {
         val allowed = types.allowed(spec)
-        return allowed
-            .flatMap { type ->
+        val costs =
+            allowed.flatMap { type ->
                 val dearer = if (type.name in scarce && allowed.size > 1) SCARCE_FACTOR else 1.0
                 type.zones.filter { spec.zone == null || it == spec.zone }.flatMap { zone ->
                     listOf(true, false).filter { !it || spec.spot }.map { spot ->
-                        Offer(type.name, zone, spot) to
-                            (if (spot) type.spotPrice else type.price) * dearer / fitting(type, spec)
+                        Offer(type.name, zone, spot) to (if (spot) type.spotPrice else type.price) * dearer / fitting(type, spec)
                     }
                 }
-            }.filter { available(it.first) }
-            .minByOrNull { it.second }
-            ?.first
+            }
+        val most = if (pressing) Double.MAX_VALUE else (costs.minOfOrNull { it.second } ?: return null) * DEAR_FACTOR
+        return costs.filter { it.second <= most && available(it.first) }.minByOrNull { it.second }?.first
     }
 
     private fun fitting(
@@ -509,10 +514,19 @@
         return Math.floor(minOf(byCpu, byMemory)).coerceAtLeast(1.0)
     }
 
+    /**
+     * How long a machine may be idle. The more machines, the less the work on them varies against its mean, and the sooner one
+     * that is idle will not be missed.
+     */
+    private fun patienceS(up: Int): Double = idleS * minOf(1.0, SMOOTH_MACHINES / Math.sqrt(up.coerceAtLeast(1).toDouble()))
+
     private fun returnIdle(after: List<Slot>) {
+        val up = workers.machines.values.filter { it.up && !it.leaving }
+        val patience = patienceS(up.size)
         val idle =
-            workers.machines.values.filter { m ->
-                m.up && !m.leaving && m.idleSince > 0 && ctx.now > m.idleSince + idleS && ledger.byMachine[m.id].isNullOrEmpty()
+            up.filter { m ->
+                val dear = if (m.spot) 1.0 else DEAR_FACTOR
+                m.idleSince > 0 && ctx.now > m.idleSince + patience / dear && ledger.byMachine[m.id].isNullOrEmpty()
             }
         if (idle.isEmpty()) return
         // Only machines that the expected tasks leave wholly free are spare.
@@ -524,7 +538,7 @@
                 .eachCount()
                 .toMutableMap()
         val back =
-            idle.sortedBy { it.idleSince }.filter { m ->
+            idle.sortedWith(compareBy({ it.spot }, { it.idleSince })).filter { m ->
                 val offer = Offer(m.type, m.zone, m.spot)
                 val left = spare[offer] ?: 0
                 if (left > 0) spare[offer] = left - 1
@@ -549,6 +563,10 @@
         const val OVERDUE_BOOTS = 3.0
         const val REFUSED_S = 15.0
 
+        /** The square root of the fleet from which on patience gets shorter. */
+        const val SMOOTH_MACHINES = 5.0
+        const val DEAR_FACTOR = 2.0
+
         /** How much dearer a scarce type counts to jobs that can do without it. */
         const val SCARCE_FACTOR = 3.0
 
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -212,6 +212,8 @@
         val txn = Txn(listOf(fence(), Condition(key, before?.stamp ?: 0)) + conditions, listOf(Op.Put(key, encode(round))))
         round.writing = true
         claiming++
+        ctx.count("intent.rows")
+        ctx.count("intent.starts", claims.size)
         store.ensure(txn, Urgency.CLAIM, stillMine(leadership.term)) { result -> claimed(round, before, result, then) }
     }
 
@@ -503,6 +505,7 @@
         val value = Json.obj { put("bits", Base64.getEncoder().encodeToString(written.toByteArray())) }
         job.flushing = true
         flushing++
+        ctx.count("intent.progress")
         job.unwrittenSince = ctx.now
         val txn = Txn(listOf(fence(), Condition("live/${job.spec.id}", job.stamp)), listOf(Op.Put(key, value)))
         job.progress.putIfAbsent(chunk, 0L)
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -73,6 +73,7 @@
         val queue = queue()
         if (queue.isEmpty()) return
         val draft = Draft(pools(), HashMap(ledger.used))
+        ctx.count("placement.rounds")
         if (draft.pools.isEmpty()) return
         for (job in queue) {
             if (draft.claims.size >= ledger.mostStarts || draft.jobs.size >= ledger.mostJobs) break
@@ -186,11 +187,16 @@
         val groups = draft.pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }.groupBy { it.first.type }
         for (group in groups.values) {
             if (task < 0) return
-            val rooms = group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }.toMutableList()
+            ctx.count("placement.candidates", group.sumOf { it.rooms.size })
+            val rooms = group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
+            // Where idle machines are returned, those in use go first, so that others fall idle.
+            val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
+            val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
             while (task >= 0 && draft.claims.size < ledger.mostStarts) {
                 val after = (draft.used[spec.team] ?: Size.NONE) + spec.size
                 if (overLimit(spec.team, after)) return
-                val room = choose(rooms, spec, zones) ?: break
+                val room = choose(shared, spec, zones) ?: choose(empty, spec, zones) ?: break
+                if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
                 room.free -= spec.size
                 draft.used[spec.team] = after
                 draft.jobs += spec.id
@@ -289,6 +295,7 @@
             val at = ctx.random.nextInt(open)
             val room = rooms[at]
             open--
+            ctx.count("placement.candidates")
             rooms[at] = rooms[open]
             rooms[open] = room
             if (!fits(spec, zones, room)) {
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -77,6 +77,7 @@
     // --- reports
 
     fun beat(body: String): Answer {
+        ctx.count("worker.reports")
         val report = Json.parseOrNull(body)
         val id = report?.path("drover")?.takeIf { it.isTextual }?.asText()
         if (report == null || id.isNullOrEmpty()) return Answer.error(400, "not a report")
@@ -379,6 +380,7 @@
         starts: List<Claim>,
     ) {
         machine.commanding = true
+        ctx.count("worker.commands")
         val token = machine.token
         val session = machine.session
         val body =
--- a/src/test/kotlin/burlridge/sim/AdditionsTest.kt
+++ b/src/test/kotlin/burlridge/sim/AdditionsTest.kt
@@ -56,6 +56,18 @@
         world.run(160.0)
         verdict("j-000001", "j-000002")
         assertEquals(5, world.rules.starts, "tasks were lost on the way from one leader to the next")
+        assertTrue(world.rules.firstStart("j-000002") < 46.0, "its workers stayed with it: ${world.rules.firstStart("j-000002")}")
+    }
+
+    /** Guards the wait before a reap: to a worker that has forgotten a task, a repeat of its start is a new one. */
+    @Test
+    fun `a start that is repeated after its task was cancelled and forgotten is void`() {
+        world.lateS = 70.0
+        world.meddle = { _, call -> if (call.path == "/do" && "run" in call.body.orEmpty()) World.Fate.REPEATED else World.Fate.FINE }
+        world.clock.after(5.0) { world.submit(world.job(1, 8, runS = 200.0), abortAfter = 30.0) }
+        world.run(200.0)
+        verdict("j-000001")
+        assertEquals(8, world.rules.starts)
     }
 
     @Test
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -60,7 +60,8 @@
     /** Called for each call before it is carried out; a test returns what is to become of it. */
     var meddle: (from: String, effect: Effect.Call) -> Fate = { _, _ -> Fate.FINE }
 
-    enum class Fate { FINE, ANSWER_LOST, LATE, REFUSED }
+    /** [Fate.REPEATED]: carried out and answered, and long after that carried out once more. */
+    enum class Fate { FINE, ANSWER_LOST, LATE, REFUSED, REPEATED }
 
     init {
         members.forEachIndexed { i, name -> clock.after(0.1 * i) { start(name) } }
@@ -95,6 +96,8 @@
         clock.after(backAfter) { if (controllers[name] == null) start(name) }
     }
 
+    fun work(name: String): Map<String, Long> = controllers[name]?.work.orEmpty()
+
     fun leader(): String? = members.firstOrNull { name -> controllers[name]?.leads == true }
 
     private fun tick(
@@ -191,9 +194,14 @@
             }
 
             else -> {
+                if (fate == Fate.REPEATED) clock.after(lateS) { deliver(host, effect) { _, _ -> } }
                 clock.after(if (fate == Fate.LATE) random.nextDouble() * lateS else 0.003) {
                     deliver(host, effect) { status, body ->
-                        if (fate == Fate.FINE && !isCut(name, host)) clock.after(0.003) { settle(Outcome.Answered(status, body)) }
+                        if ((fate == Fate.FINE || fate == Fate.REPEATED) &&
+                            !isCut(name, host)
+                        ) {
+                            clock.after(0.003) { settle(Outcome.Answered(status, body)) }
+                        }
                     }
                 }
             }
