--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -22,10 +22,10 @@
     private val store = Store(ctx)
     private val leadership = Leadership(ctx, store, this)
     private val ledger = Ledger(ctx, store, leadership)
-    private val workers = Workers(ctx, leadership, ledger) { placeSoon() }
+    private val peers = Peers(ctx)
+    private val workers = Workers(ctx, leadership, ledger, peers) { placeSoon() }
     private val fleet = Fleet(ctx, store, leadership, ledger, workers)
     private val placement = Placement(ctx, ledger, workers, fleet)
-    private val peers = Peers(ctx)
     private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
     val work: Map<String, Long> get() = ctx.work
     val leads: Boolean get() = leadership.standing && intake.loaded
@@ -88,14 +88,15 @@
         method: String,
         path: String,
         body: String,
-        passedOn: Boolean = false,
+        from: String? = null,
         then: (Answer) -> Unit,
     ) {
+        val passedOn = from != null
         val parts = path.trim('/').split('/')
         when {
             path == "/ready" -> only(method, "GET", then) { then(if (ready) Answer(200, "{}") else Answer.unavailable("starting")) }
 
-            path == "/agent/beat" -> only(method, "POST", then) { beat(body, passedOn, then) }
+            path == "/agent/beat" -> only(method, "POST", then) { beat(body, from, then) }
 
             path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, passedOn, then) }
 
@@ -123,12 +124,12 @@
 
     private fun beat(
         body: String,
-        passedOn: Boolean,
+        from: String?,
         then: (Answer) -> Unit,
     ) {
         when {
-            leadership.answering -> then(workers.beat(body))
-            leadership.leading || passedOn -> then(Answer.unavailable("leadership in doubt"))
+            leadership.answering -> then(workers.beat(body, from))
+            leadership.leading || from != null -> then(Answer.unavailable("leadership in doubt"))
             else -> relay.beat(body, leadership.knownLeader?.takeIf { it != settings.member }, then)
         }
     }
@@ -151,7 +152,11 @@
             }
 
             is PeerMessage.Ask -> {
-                request(message.method, message.path, message.body, passedOn = true) { reply(message, it) }
+                if (message.path.startsWith(Relay.COMMAND)) {
+                    relay.command(message.path.removePrefix(Relay.COMMAND), message.body) { reply(message, it) }
+                } else {
+                    request(message.method, message.path, message.body, message.from) { reply(message, it) }
+                }
             }
         }
     }
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -64,6 +64,11 @@
     private var planAt = 0.0
     private val idleS = ctx.settings.workers.reportS * ctx.settings.operator.idleReports
     private val demand = Demand(ctx, ledger)
+
+    init {
+        workers.cacheOf = { type -> catalog?.types?.get(type)?.cacheGb ?: 0.0 }
+    }
+
     val returnsIdle: Boolean get() = !demand.lavish
 
     fun clear() {
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -108,7 +108,7 @@
     private fun usable(machine: Machine): Boolean =
         machine.up && machine.hears && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
             !workers.silent(machine) &&
-            ctx.now >= machine.nextCommandAt
+            ctx.now >= machine.nextCommandAt && workers.reaches(machine)
 
     private fun free(
         machine: Machine,
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -65,7 +65,12 @@
     var dead: Boolean = false
     var returning: Boolean = false
     var lapsed: Boolean = false
-    val images: LinkedHashSet<String> = LinkedHashSet()
+
+    /** The member through which its last report came, where it cannot reach the leader itself; commands go the same way. */
+    var via: String? = null
+
+    /** Images it should still hold, with their size, the most recently used last. */
+    val images: LinkedHashMap<String, Double> = LinkedHashMap()
 
     val up: Boolean get() = session > 0
 
--- a/src/main/kotlin/burlridge/worker/Relay.kt
+++ b/src/main/kotlin/burlridge/worker/Relay.kt
@@ -2,7 +2,9 @@
 
 import burlridge.app.Answer
 import burlridge.app.Context
+import burlridge.app.Endpoint
 import burlridge.app.Json
+import burlridge.app.Outcome
 import burlridge.peer.Peers
 
 /**
@@ -45,8 +47,33 @@
         peers.ask(leader, "POST", "/agent/beat", body, times.reportS / 2) { answer -> then(answer ?: redirect(leader)) }
     }
 
+    /** A command of the leader for a worker that only this member reaches; fenced by the leader's token like any other. */
+    fun command(
+        to: String,
+        body: String,
+        then: (Answer) -> Unit,
+    ) {
+        val port = to.substringAfterLast(':', "").toIntOrNull() ?: return then(Answer(NOT_SENT, ""))
+        ctx.call(Endpoint(to.substringBeforeLast(':'), port), "POST", "/do", body, times.reportS / 2) { outcome ->
+            then(
+                when (outcome) {
+                    is Outcome.Answered -> Answer(outcome.status, outcome.body)
+                    Outcome.NotSent -> Answer(NOT_SENT, "")
+                    Outcome.Unknown -> Answer(UNKNOWN, "")
+                },
+            )
+        }
+    }
+
     /** After a lease's time a relayed worker is sent to the leader again, to see whether the way is free. */
     private fun relaying(before: Seen): Boolean = before.relayedSince?.let { ctx.now < it + times.leaseS } ?: false
 
     private fun redirect(leader: String?) = Answer(421, Json.write(Json.obj { leader?.let { put("herder", it) } }))
+
+    internal companion object {
+        /** Path of a command passed on, followed by the worker's address; between members only. */
+        const val COMMAND = "/worker/do/"
+        const val NOT_SENT = 1
+        const val UNKNOWN = 2
+    }
 }
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -5,11 +5,13 @@
 import burlridge.app.Endpoint
 import burlridge.app.Json
 import burlridge.app.Outcome
+import burlridge.intake.JobSpec
 import burlridge.intent.Claim
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
 import burlridge.intent.Standing
 import burlridge.leadership.Leadership
+import burlridge.peer.Peers
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ArrayNode
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
@@ -19,8 +21,12 @@
     private val ctx: Context,
     private val leadership: Leadership,
     private val ledger: Ledger,
+    private val peers: Peers,
     private val onChange: () -> Unit,
 ) {
+    /** What a type of machine caches; set once the types are known. */
+    var cacheOf: (String) -> Double = { 0.0 }
+
     private val times = ctx.settings.workers
     val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
     private var tokens = 0L
@@ -29,6 +35,7 @@
     /** How many machines run each task without a claim of ours; until it is halted such a task blocks any other start of it. */
     private val strayCount = Object2IntOpenHashMap<String>()
     private var sweepAt = 0.0
+    private var probeAt = 0.0
 
     /** Returned machines: their workers are gone, and a late report must not bring them back. */
     private val returned = HashSet<String>()
@@ -37,6 +44,7 @@
         machines.clear()
         returned.clear()
         strayCount.clear()
+        unreached.clear()
         loaded = false
         tokens = 0
     }
@@ -76,7 +84,11 @@
 
     // --- reports
 
-    fun beat(body: String): Answer {
+    /** A report, come straight from its worker or passed on by [via]. */
+    fun beat(
+        body: String,
+        via: String?,
+    ): Answer {
         ctx.count("worker.reports")
         val report = Json.parseOrNull(body)
         val id = report?.path("drover")?.takeIf { it.isTextual }?.asText()
@@ -84,6 +96,7 @@
         if (id in returned) return Answer.unavailable("this machine has been returned")
         val machine = machine(id)
         val fresh = take(machine, report)
+        if (fresh) machine.via = via
         if (machine.echoed shr TERM_SHIFT > leadership.term) {
             leadership.stepDown("worker $id has seen a higher token")
             return Answer.unavailable("not the leader")
@@ -205,17 +218,18 @@
             }
         if (claim.phase == Phase.RUNNING && before != Phase.RUNNING) {
             claim.startedAt = ctx.now
-            ledger.jobs[claim.job]?.let { remember(machine, it.spec.image) }
+            ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
         }
     }
 
     private fun remember(
         machine: Machine,
-        image: String,
+        spec: JobSpec,
     ) {
-        machine.images.remove(image)
-        machine.images.add(image)
-        if (machine.images.size > IMAGES_REMEMBERED) machine.images.remove(machine.images.first())
+        machine.images.remove(spec.image)
+        machine.images[spec.image] = spec.imageGb
+        val cacheGb = cacheOf(machine.type)
+        while (machine.images.size > 1 && machine.images.values.sum() > cacheGb) machine.images.remove(machine.images.keys.first())
     }
 
     private fun exited(
@@ -229,7 +243,7 @@
         when (report.cause) {
             "done" -> {
                 machine.failures = 0
-                remember(machine, job.spec.image)
+                remember(machine, job.spec)
                 ledger.markDone(job, claim.task)
             }
 
@@ -390,8 +404,8 @@
                 set<JsonNode>("orders", orders)
             }
         val term = leadership.term
-        ctx.call(address, "POST", "/do", Json.write(body), times.reportS) { outcome ->
-            if (!leadership.leading || leadership.term != term || machines[machine.id] !== machine) return@call
+        deliver(machine, address, Json.write(body)) { outcome ->
+            if (!leadership.leading || leadership.term != term || machines[machine.id] !== machine) return@deliver
             machine.commanding = false
             val answer = outcome as? Outcome.Answered
             val report = answer?.let { Json.parseOrNull(it.body) }
@@ -403,7 +417,7 @@
                     if (take(machine, report) && loaded) reconcile(machine)
                     if (machine.echoed shr TERM_SHIFT > leadership.term) {
                         leadership.stepDown("worker ${machine.id} has seen a higher token")
-                        return@call
+                        return@deliver
                     }
                     if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
                     onChange()
@@ -433,6 +447,53 @@
         }
     }
 
+    /** Straight to the worker, or the way its reports come where it cannot reach us itself. */
+    private fun deliver(
+        machine: Machine,
+        address: Endpoint,
+        body: String,
+        then: (Outcome) -> Unit,
+    ) {
+        val via = machine.via
+        val timeoutS = times.reportS * COMMAND_PART
+        val zone = machine.zone
+        if (via == null) {
+            ctx.call(address, "POST", "/do", body, timeoutS) { outcome ->
+                if (outcome is Outcome.Answered) unreached.removeInt(zone) else unreached.addTo(zone, 1)
+                then(outcome)
+            }
+        } else {
+            peers.ask(via, "POST", Relay.COMMAND + address, body, timeoutS * 2) { answer ->
+                then(
+                    when {
+                        answer == null -> Outcome.Unknown
+                        answer.status == Relay.NOT_SENT -> Outcome.NotSent
+                        answer.status == Relay.UNKNOWN -> Outcome.Unknown
+                        else -> Outcome.Answered(answer.status, answer.body)
+                    },
+                )
+            }
+        }
+    }
+
+    /** Commands in a row that reached nobody in a zone: it is then cut off from us, and only what comes by another way is used. */
+    private val unreached = Object2IntOpenHashMap<String>()
+
+    fun reaches(machine: Machine): Boolean = machine.via != null || unreached.getInt(machine.zone) < UNREACHED_TO_LEAVE
+
+    /** Now and then one machine of a zone that is cut off is tried, with nothing to do for it. */
+    private fun probe() {
+        if (ctx.now < probeAt) return
+        probeAt = ctx.now + PROBE_S
+        for (zone in unreached.keys.toList()) {
+            if (unreached.getInt(zone) < UNREACHED_TO_LEAVE) continue
+            val there =
+                machines.values.filter { it.zone == zone && it.up && it.via == null && it.address != null && !it.commanding && !it.leaving }
+            val machine = there.randomOrNull(ctx.random) ?: continue
+            send(machine, machine.address ?: continue, Json.arr(), emptyList())
+        }
+    }
+
     private fun retryLater(machine: Machine) {
         machine.refusals++
         machine.nextCommandAt = ctx.now + RETRY_S * minOf(machine.refusals, 8)
@@ -447,6 +508,7 @@
     fun tick() {
         if (ctx.now < sweepAt) return
         sweepAt = ctx.now + times.reportS / SWEEPS_A_REPORT
+        probe()
         for (machine in machines.values.toList()) {
             if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
             if (loaded && silent(machine)) withdrawUnsent(machine, "never sent, and its machine is silent")
@@ -513,9 +575,13 @@
         private const val MOST_ORDERS = 100
         private const val RETRY_S = 0.5
         private const val REFUSALS_TO_LEAVE = 2
+        private const val UNREACHED_TO_LEAVE = 4
+        private const val PROBE_S = 1.0
+
+        /** How long a command's answer is waited for, in report intervals. */
+        private const val COMMAND_PART = 0.5
         private const val SWEEPS_A_REPORT = 10
         private const val SILENT_REPORTS = 2.5
         private const val FAILURES_TO_QUARANTINE = 2
-        private const val IMAGES_REMEMBERED = 6
     }
 }
--- a/src/test/kotlin/burlridge/sim/AdditionsTest.kt
+++ b/src/test/kotlin/burlridge/sim/AdditionsTest.kt
@@ -70,6 +70,20 @@
         assertEquals(8, world.rules.starts)
     }
 
+    /** Guards the way of commands through the member that passes on a worker's reports. */
+    @Test
+    fun `machines that cannot reach the leader get their starts through another member`() {
+        world.clock.after(30.0) {
+            val leader = world.leader() ?: return@after
+            world.cloud.names().forEach { world.cut(it, leader, 60.0) }
+        }
+        world.clock.after(5.0) { world.submit(world.job(1, 3, runS = 5.0)) }
+        world.clock.after(52.0) { world.submit(world.job(2, 3, runS = 5.0)) }
+        world.run(130.0)
+        verdict("j-000001", "j-000002")
+        assertTrue(world.rules.firstStart("j-000002") < 75.0, "began at ${world.rules.firstStart("j-000002")}")
+    }
+
     @Test
     fun `a machine back at once has lost its tasks, and they run again`() {
         world.clock.after(5.0) { world.submit(world.job(1, 6, runS = 30.0)) }
