--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -12,7 +12,7 @@
 
 /** The thin shell: one thread steps the core, carries out its effects and waits for sockets. */
 internal class Service(
-    settings: Settings,
+    private val settings: Settings,
 ) {
     private val log = LoggerFactory.getLogger("burlridge")
     private val controller = Controller(settings, System.nanoTime())
@@ -34,6 +34,7 @@
     }
 
     private fun start(tick: suspend () -> Unit) {
+        WarmUp(settings).run()
         peers.start(scope)
         server.serve(serveOn, scope)
         scope.launch {
--- /dev/null
+++ b/src/main/kotlin/burlridge/app/WarmUp.kt
@@ -0,0 +1,112 @@
+package burlridge.app
+
+import com.fasterxml.jackson.databind.JsonNode
+
+/**
+ * A few seconds in the life of another core, in virtual time and with an outside that always says yes. On a fifth of a core the
+ * first submission, claim and report of a fresh process would take several tenths of a second each; they are taken here,
+ * before the process says that it is ready.
+ */
+internal class WarmUp(
+    private val settings: Settings,
+) {
+    private val core = Controller(settings, 1)
+    private val inputs = ArrayDeque<Input>()
+    private var revision = 1L
+    private var nextId = 1L
+    private var tally = 1L
+    private val reported = Json.arr()
+    val work: Map<String, Long> get() = core.work
+
+    fun run() {
+        var now = 0.0
+        repeat(STEPS) { step ->
+            now += STEP_S
+            inputs += Input.Tick
+            if (step % STEPS_A_JOB == 0) {
+                val job = "j-%06d".format(step)
+                inputs +=
+                    Input.Request(nextId++, "POST", "/api/jobs", "", JOB.replace("ID", job).replace("TEAM", settings.teams.keys.first()))
+                inputs += Input.Request(nextId++, "GET", "/api/jobs/$job", "", "")
+                inputs += Input.Request(nextId++, "POST", "/agent/beat", "", Json.write(report()))
+            }
+            while (inputs.isNotEmpty()) {
+                core.step(inputs.removeFirst(), now, (now * MS_A_S).toLong()).forEach { if (it is Effect.Call) reply(it) }
+            }
+        }
+    }
+
+    private fun reply(call: Effect.Call) {
+        val path = call.path.substringBefore('?')
+        val status = if (call.method == "GET" && path.startsWith("/store/")) NOT_FOUND else OK
+        val body =
+            when {
+                status == NOT_FOUND -> "{}"
+
+                path == "/catalog" -> CATALOG
+
+                path == "/store" -> """{"pairs":[],"truncated":false,"ledgerRev":1}"""
+
+                path == "/multi" -> """{"ledgerRev":${revision++}}"""
+
+                path.startsWith("/leases") -> """{"tether":1}"""
+
+                path == "/rentals/return" -> "{}"
+
+                path == "/rentals" && call.method == "POST" -> """{"drovers":["m-000001"]}"""
+
+                path == "/rentals" -> """{"drovers":[$MACHINE],"truncated":false}"""
+
+                path == "/do" -> Json.write(execute(Json.parse(call.body.orEmpty())))
+
+                // A watch that stays open.
+                else -> return
+            }
+        inputs += Input.CallDone(call.call, Outcome.Answered(status, body))
+    }
+
+    private fun execute(command: JsonNode): JsonNode {
+        command.path("orders").filter { it.path("verb").asText() == "run" }.forEach {
+            reported
+                .addObject()
+                .put("piece", it.path("piece").asText())
+                .put("try", it.path("try").asInt())
+                .put("standing", "exited")
+                .put("cause", "done")
+        }
+        return report()
+    }
+
+    private fun report(): JsonNode =
+        Json.obj {
+            put("drover", "m-000001")
+            put("addr", "127.0.0.1:1")
+            put("breed", "t")
+            put("yard", settings.zone)
+            put("loaners", false)
+            put("stint", 1)
+            put("tally", tally++)
+            put("baton", FIRST_TOKEN)
+            set<JsonNode>("pieces", reported.deepCopy())
+        }
+
+    private companion object {
+        const val STEPS = 60
+        const val STEP_S = 0.1
+        const val STEPS_A_JOB = 4
+        const val MS_A_S = 1000
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val FIRST_TOKEN = 1L shl 20
+        const val MACHINE =
+            """{"id":"m-000001","addr":"127.0.0.1:1","breed":"t","yard":"a","loaners":false,"standing":"running",
+            "ageS":60.0}"""
+        const val CATALOG =
+            """{"breeds":[{"sku":"t","vcpus":64,"gpus":0,"ramGb":256,"cacheGb":10,"pullGbPerS":1.0,"price":1.0,"spotPrice":0.5,
+            "bootS":1,"yards":["a"]}]}"""
+        const val JOB =
+            """{"id":"ID","lane":"lane","crew":"TEAM","shape":"array","urgency":"high","pieces":2,"vcpus":1.0,"gpus":0.0,"ramGb":1.0,
+            "bundle":"img","pullGb":1.0,"breeds":null,"yard":null,"together":false,"spread":false,"loaners":true,"guessS":1.0,
+            "markEveryS":0.0,"markCostS":0.0,"dueS":null}"""
+    }
+}
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -22,17 +22,20 @@
         ctx.settings.teams.values
             .none { it.cpus > 0 || it.gpus > 0 }
 
-    /** Tasks of one kind that want room; [pressing] if they cannot wait for cheap machines to fall free. */
+    /** Tasks of one kind that want room, how long they may still wait for it, and how many like them have some already. */
     data class Need(
         val spec: JobSpec,
         val tasks: Int,
-        val pressing: Boolean,
+        val slackS: Double,
+        val held: Int,
     )
 
-    fun wanted(types: Catalog): List<Need> {
+    fun wanted(): List<Need> {
         val now = ledger.jobs.values.filter { it.ending == null }
         now.forEach { if (seen.add(it.spec.id)) remember(it.spec) }
-        val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, pressing(it, types)) }
+        val held = HashMap<String, Int>()
+        now.forEach { held.merge(it.spec.lane, it.claims.size, Int::plus) }
+        val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, slackS(it), held[it.spec.lane] ?: 0) }
         return waiting.sortedBy { it.spec.priority } + headroom()
     }
 
@@ -51,32 +54,27 @@
                 ?.name
         }
 
-    /** Whether a machine asked for now is up only just in time for what the aims say of this job's lane. */
-    private fun pressing(
-        job: Job,
-        types: Catalog,
-    ): Boolean {
+    /** How long the tasks of [job] may still wait by what the aims say of its lane; where they say nothing, not at all. */
+    private fun slackS(job: Job): Double {
         val spec = job.spec
         val aims = ctx.settings.objectives.filter { it.lane == spec.lane }
         val startBy = aims.filter { it.kind == "wait" }.mapNotNull { it.withinS }
         val doneBy = aims.filter { it.kind == "finished" }.mapNotNull { it.withinS } + listOfNotNull(spec.deadlineS)
-        val latest = (startBy + doneBy.map { it - spec.estimateS * LONG_RUN }).minOrNull() ?: return true
-        val boot = types.allowed(spec).minOfOrNull { it.bootS } ?: 0.0
-        return (ctx.wallMs - job.submittedMs) / 1000.0 > latest - boot * LONG_BOOT
+        val latest = (startBy + doneBy.map { it - spec.estimateS * LONG_RUN }).minOrNull() ?: 0.0
+        return latest - (ctx.wallMs - job.submittedMs) / 1000.0
     }
 
     /** For lanes with a wait aim, room for a job of the usual size. */
     private fun headroom(): List<Need> =
         waits.mapNotNull { aim ->
             val list = recent[aim.lane]?.takeIf { it.isNotEmpty() } ?: return@mapNotNull null
-            Need(list.last(), Math.ceil(list.map { it.tasks }.average() * ctx.settings.operator.headroom).toInt(), pressing = false)
+            Need(list.last(), Math.ceil(list.map { it.tasks }.average() * ctx.settings.operator.headroom).toInt(), Double.MAX_VALUE, 0)
         }
 
     private companion object {
         const val REMEMBERED = 10
 
-        /** Estimates are often wrong by half, and boots take up to one and a half times as long as usual. */
+        /** Estimates are often wrong by half. */
         const val LONG_RUN = 1.5
-        const val LONG_BOOT = 1.5
     }
 }
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -424,27 +424,45 @@
     private fun rentNeeded(types: Catalog) {
         val slots = coming(types)
         val wanted = LinkedHashMap<Offer, Int>()
-        val needs = demand.wanted(types)
+        val needs = demand.wanted()
         val scarce = demand.indispensable(types)
-        for ((spec, tasks, pressing) in needs) {
-            var left = tasks
+        val behind = HashMap<String, Int>()
+        for (need in needs) {
+            val spec = need.spec
+            var left = need.tasks
             for (slot in slots) {
                 if (left == 0) break
                 if (slot.allows(spec)) left -= slot.take(spec.size, left)
             }
             while (left > 0) {
-                val offer = cheapest(types, spec, scarce, pressing) { (wanted[it] ?: 0) < MOST_PER_CALL && open(it) } ?: break
+                val available = { offer: Offer -> (wanted[offer] ?: 0) < MOST_PER_CALL && open(offer) }
+                val offer =
+                    cheapest(types, spec, scarce, false, available)
+                        ?: (if (presses(need, left, behind[spec.lane] ?: 0)) cheapest(types, spec, scarce, true, available) else null)
+                        ?: break
                 val whole = types.types.getValue(offer.type).size
                 wanted.merge(offer, 1, Int::plus)
                 val slot = Slot(offer.type, offer.zone, offer.spot, whole)
                 left -= slot.take(spec.size, left).coerceAtLeast(1)
                 slots += slot
             }
+            if (left > 0) behind.merge(spec.lane, left, Int::plus)
         }
         wanted.forEach { (offer, count) -> rent(offer, count, "waiting and expected tasks have no room") }
         returnIdle(slots)
     }
 
+    /** Whether [left] tasks would wait too long for the room of those like them that run already, [behind] others of their lane. */
+    private fun presses(
+        need: Demand.Need,
+        left: Int,
+        behind: Int,
+    ): Boolean {
+        val servers = need.held + need.tasks - left
+        val waitS = if (servers <= 0) Double.MAX_VALUE else need.spec.estimateS * (behind + left) / servers
+        return waitS > need.slackS
+    }
+
     /** What is free, now or soon, of every machine that will take tasks; the fullest first. */
     private fun coming(types: Catalog): MutableList<Slot> {
         val slots = ArrayList<Slot>()
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -100,6 +100,7 @@
                 ctx.error("row live/$job cannot be read: ${e.message}")
                 return null
             }
+        ctx.debug("job $job: ${spec.tasks} of ${spec.lane}, ${spec.size.cpus} CPUs, ${spec.estimateS} s, due in ${spec.deadlineS} s")
         return Job(spec, stamp, row.path("at").asLong()).also { jobs[job] = it }
     }
 
@@ -186,7 +187,7 @@
         job.over = standing
         ends.put(job.spec.id, End(standing, job.spec.fingerprint, job.spec.tasks))
         jobs.remove(job.spec.id)
-        ctx.info("job ${job.spec.id} is ${standing.wire}")
+        ctx.info("job ${job.spec.id} is ${standing.wire} after ${(ctx.wallMs - job.submittedMs) / 1000} s")
         job.whenOver.forEach { it(standing) }
         job.whenOver.clear()
     }
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -184,30 +184,62 @@
         val zones = HashMap<String, Int>()
         if (spec.oneZone || spec.spread) job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
         var task = next(job, 0)
-        val groups = draft.pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }.groupBy { it.first.type }
-        for (group in groups.values) {
+        val pools = draft.pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }
+        // The design samples blindly; where time presses, a fetch is too much of it while another machine holds the image.
+        if (presses(spec, pools)) {
+            val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && spec.size.fits(it.free) } }
+            task = fill(job, task, holders, zones, draft)
+        }
+        for (group in pools.groupBy { it.first.type }.values) {
             if (task < 0) return
             ctx.count("placement.candidates", group.sumOf { it.rooms.size })
-            val rooms = group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
-            // Where idle machines are returned, those in use go first, so that others fall idle.
-            val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
-            val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
-            while (task >= 0 && draft.claims.size < ledger.mostStarts) {
-                val after = (draft.used[spec.team] ?: Size.NONE) + spec.size
-                if (overLimit(spec.team, after)) return
-                val room = choose(shared, spec, zones) ?: choose(empty, spec, zones) ?: break
-                if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
-                room.free -= spec.size
-                draft.used[spec.team] = after
-                draft.jobs += spec.id
-                zones.merge(room.machine.zone, 1, Int::plus)
-                draft.claims += claim(job, task, room.machine)
-                task = next(job, task + 1)
-            }
+            task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, draft)
         }
-        if (task >= 0 && draft.claims.size < ledger.mostStarts && !spec.oneZone && !spec.spread) {
-            draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
+        val full = draft.claims.size >= ledger.mostStarts || overLimit(spec.team, (draft.used[spec.team] ?: Size.NONE) + spec.size)
+        if (task >= 0 && !full && !spec.oneZone && !spec.spread) draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
+    }
+
+    private fun presses(
+        spec: JobSpec,
+        pools: List<Pool>,
+    ): Boolean {
+        if (spec.lane in urgentLanes) return true
+        val slowest =
+            pools.minOfOrNull {
+                fleet.catalog
+                    ?.types
+                    ?.get(it.first.type)
+                    ?.fetchGbPerS ?: 0.0
+            } ?: return false
+        return spec.deadlineS != null && slowest > 0 && spec.imageGb / slowest > spec.estimateS * LONG_FETCH
+    }
+
+    /** Places tasks of [job] from [first] on in [rooms] while there is room; returns the next task, or -1 when none is left. */
+    private fun fill(
+        job: Job,
+        first: Int,
+        rooms: List<Room>,
+        zones: HashMap<String, Int>,
+        draft: Draft,
+    ): Int {
+        val spec = job.spec
+        var task = first
+        // Where idle machines are returned, those in use go first, so that others fall idle.
+        val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
+        val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
+        while (task >= 0 && draft.claims.size < ledger.mostStarts) {
+            val after = (draft.used[spec.team] ?: Size.NONE) + spec.size
+            if (overLimit(spec.team, after)) break
+            val room = sample(shared, spec, zones) ?: sample(empty, spec, zones) ?: break
+            if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
+            room.free -= spec.size
+            draft.used[spec.team] = after
+            draft.jobs += spec.id
+            zones.merge(room.machine.zone, 1, Int::plus)
+            draft.claims += claim(job, task, room.machine)
+            task = next(job, task + 1)
         }
+        return task
     }
 
     private fun overLimit(
@@ -261,26 +293,13 @@
         return !spec.spread || (zones[zone] ?: 0) < (spec.tasks + 1) / 2
     }
 
-    /** Best fit over a sample drawn from [rooms]; what is drawn and has no room any more is struck out. */
-    private fun choose(
-        rooms: MutableList<Room>,
-        spec: JobSpec,
-        zones: Map<String, Int>,
-    ): Room? {
-        // The design samples blindly; a lane with a wait aim cannot afford a fetch where another machine holds the image.
-        if (spec.lane in urgentLanes) {
-            val holders = rooms.filter { spec.image in it.machine.images && fits(spec, zones, it) }
-            if (holders.isNotEmpty()) return sample(holders.toMutableList(), spec, zones)
-        }
-        return sample(rooms, spec, zones)
-    }
-
     private fun fits(
         spec: JobSpec,
         zones: Map<String, Int>,
         room: Room,
     ): Boolean = spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
 
+    /** Best fit over a sample drawn from [rooms]; what is drawn and has no room any more is struck out. */
     private fun sample(
         rooms: MutableList<Room>,
         spec: JobSpec,
@@ -343,6 +362,9 @@
         const val SURE_PART = 0.3
         const val GPU_WEIGHT = 16.0
 
+        /** The part of a run that a fetch may take where a deadline presses. */
+        const val LONG_FETCH = 0.1
+
         /** By the protocol every job begins within four minutes. */
         const val MUST_BEGIN_S = 240.0
         const val TURNS_OF_TIMELY = 3
--- /dev/null
+++ b/src/test/kotlin/burlridge/app/WarmUpTest.kt
@@ -0,0 +1,14 @@
+package burlridge.app
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+internal class WarmUpTest {
+    @Test
+    fun `it leads, claims, commands and finishes jobs`() {
+        val warmUp = WarmUp(Settings.parse(Rehearsal.settings()))
+        warmUp.run()
+        assertTrue(warmUp.work.getValue("intent.starts") > 10, "${warmUp.work}")
+        assertTrue(warmUp.work.getValue("worker.commands") > 5, "${warmUp.work}")
+    }
+}
