--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -4,6 +4,7 @@
 import burlridge.intake.Intake
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
+import burlridge.leadership.Versions
 import burlridge.peer.PeerMessage
 import burlridge.peer.Peers
 import burlridge.placement.Placement
@@ -26,7 +27,8 @@
     private val workers = Workers(ctx, leadership, ledger, peers) { placeSoon() }
     private val fleet = Fleet(ctx, store, leadership, ledger, workers)
     private val placement = Placement(ctx, ledger, workers, fleet)
-    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers) { placeSoon() }
+    private val versions = Versions(ctx, store)
+    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers, versions) { placeSoon() }
     val work: Map<String, Long> get() = ctx.work
     val leads: Boolean get() = leadership.standing && intake.loaded
     private val relay = Relay(ctx, peers)
@@ -59,6 +61,7 @@
     private fun tick() {
         leadership.tick()
         fleet.tickCatalog()
+        versions.tick()
         if (ctx.now >= announceAt) {
             announceAt = ctx.now + ANNOUNCE_S
             leadership.announce(if (leadership.leading) workers.unheardZones() else emptyList())
--- a/src/main/kotlin/burlridge/app/Metrics.kt
+++ b/src/main/kotlin/burlridge/app/Metrics.kt
@@ -44,6 +44,8 @@
         }
     }
 
+    fun unknownPeerMessage() = count("in.peer.unknown")
+
     /** One line for the log; [work] is what the core has counted. */
     fun line(work: Map<String, Long>): String {
         work.forEach { (name, amount) ->
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -21,9 +21,9 @@
     private val budget = ConnectionBudget(settings.mostConnections)
     private val client = HttpClient(loop, scope, budget.commands, budget.kept, setOf(settings.state, settings.cloud))
     private val server = HttpServer(loop, budget, settings.workers.reportS * QUIET_REPORTS) { step(it) }
-    private val peers = PeerLinks(settings, loop) { step(Input.FromPeer(it)) }
-    private val serveOn = settings.serveOn
     private val metrics = Metrics()
+    private val peers = PeerLinks(settings, loop, metrics::unknownPeerMessage) { step(Input.FromPeer(it)) }
+    private val serveOn = settings.serveOn
     private var metricsAt = 0L
 
     fun run() {
--- a/src/main/kotlin/burlridge/app/Settings.kt
+++ b/src/main/kotlin/burlridge/app/Settings.kt
@@ -40,8 +40,21 @@
     val reportS: Double,
     val leaseS: Double,
     val cancelS: Double,
+    /** Null where the platform knows no gangs. */
+    val gang: GangTimes? = null,
 )
 
+internal data class GangTimes(
+    /** How long a task waits for the others of its attempt. */
+    val waitS: Double,
+    /** Within which the tasks of a gang notice a loss, and must all be told of a stop. */
+    val peerS: Double,
+)
+
+/**
+ * What the state service takes. It may lower its limits at any moment to those in `state.next`, without notice: the smaller of
+ * both holds from the first write.
+ */
 internal data class StoreLimits(
     val rps: Double,
     val writeRps: Double,
@@ -76,6 +89,7 @@
     internal companion object {
         /** Where the platform sets no limit. */
         private const val USUAL_CONNECTIONS = 1000
+        private const val BYTES_A_KB = 1024
 
         fun parse(text: String): Settings =
             try {
@@ -109,19 +123,35 @@
                         workers.positive("report_s", "params.workers."),
                         workers.positive("lease_s", "params.workers."),
                         workers.positive("cancel_s", "params.workers."),
+                        gangTimes(workers),
                     ),
-                store =
-                    StoreLimits(
-                        state.positive("rps", "params.state."),
-                        state.positive("write_rps", "params.state."),
-                        (state.positive("value_kb", "params.state.") * 1024).toInt(),
-                        state.positive("txn_ops", "params.state.").toInt(),
-                    ),
+                store = storeLimits(state),
                 cloudLimits = CloudLimits(cloud.positive("rps", "params.cloud."), cloud.positive("list_lag_s", "params.cloud.")),
                 mostConnections = params.path("limits").path("max_connections").asInt(USUAL_CONNECTIONS),
             )
         }
 
+        private fun gangTimes(workers: JsonNode): GangTimes? {
+            if (!workers.hasNonNull("gang_wait_s") && !workers.hasNonNull("gang_peer_s")) return null
+            return GangTimes(workers.positive("gang_wait_s", "params.workers."), workers.positive("gang_peer_s", "params.workers."))
+        }
+
+        private fun storeLimits(state: JsonNode): StoreLimits {
+            val next = state.path("next")
+            if (!next.isMissingNode && !next.isNull && !next.isObject) throw SettingsError("params.state.next must be an object")
+
+            fun least(name: String): Double {
+                val now = state.positive(name, "params.state.")
+                return if (next.hasNonNull(name)) minOf(now, next.positive(name, "params.state.next.")) else now
+            }
+            return StoreLimits(
+                least("rps"),
+                least("write_rps"),
+                (least("value_kb") * BYTES_A_KB).toInt(),
+                least("txn_ops").toInt().coerceAtLeast(1),
+            )
+        }
+
         private fun team(node: JsonNode) =
             Team(
                 node.text("name", "params.teams."),
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -2,6 +2,7 @@
 
 import burlridge.app.Context
 import burlridge.intake.JobSpec
+import burlridge.intake.Priority
 import burlridge.intent.Job
 import burlridge.intent.Ledger
 
@@ -30,13 +31,89 @@
         val held: Int,
     )
 
-    fun wanted(): List<Need> {
+    /** Takes note of the jobs there are, so that what comes can be guessed from what came. */
+    fun observe() {
+        ledger.jobs.values.forEach { if (it.ending == null && seen.add(it.spec.id)) remember(it) }
+    }
+
+    fun wanted(types: Catalog): List<Need> {
         val now = ledger.jobs.values.filter { it.ending == null }
-        now.forEach { if (seen.add(it.spec.id)) remember(it) }
         val held = HashMap<String, Int>()
         now.forEach { held.merge(it.spec.lane, it.claims.size, Int::plus) }
         val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, slackS(it), held[it.spec.lane] ?: 0) }
-        return waiting.sortedBy { it.spec.priority } + headroom()
+        return waiting.sortedBy { it.spec.priority } + headroom() + expectedGangs(types)
+    }
+
+    /**
+     * Room for the gangs that come while a machine boots, or where machines are kept anyway while others fall free; and two
+     * machines for each lane that is to start at once and of which nothing has come yet.
+     */
+    fun expectedGangs(types: Catalog): List<Need> {
+        if (ctx.settings.workers.gang == null) return emptyList()
+        val cheapest = types.types.values.minByOrNull { it.price } ?: return emptyList()
+        val held = HashMap<String, Int>()
+        ledger.jobs.values.forEach { if (it.spec.gang && it.ending == null) held.merge(it.spec.lane, it.claims.size, Int::plus) }
+        return waits.distinctBy { it.lane }.mapNotNull { aim ->
+            val list = recent[aim.lane]
+            val tightS = aim.withinS ?: Double.MAX_VALUE
+            when {
+                list == null -> unseen(aim.lane.orEmpty(), cheapest).takeIf { tightS < cheapest.bootS }
+                !list.last().spec.gang || driedUp(list) -> null
+                else -> Need(list.last().spec, gangTasks(list, held[aim.lane] ?: 0, cheapest.bootS), Double.MAX_VALUE, 0)
+            }
+        }
+    }
+
+    private fun unseen(
+        lane: String,
+        type: MachineType,
+    ): Need {
+        val spec =
+            JobSpec(
+                "j-0",
+                lane,
+                ctx.settings.teams.keys
+                    .first(),
+                Priority.LOW,
+                BET_MACHINES,
+                type.size,
+                "",
+                0.0,
+                listOf(type.name),
+                null,
+                oneZone = false,
+                spread = false,
+                spot = false,
+                estimateS = type.bootS,
+                checkpointS = 0.0,
+                saveS = 0.0,
+                deadlineS = null,
+            )
+        return Need(spec, BET_MACHINES, Double.MAX_VALUE, 0)
+    }
+
+    /** So many tasks of a gang lane are likely to come, beyond the room that those who run will leave, before more can be had. */
+    private fun gangTasks(
+        list: List<Job>,
+        held: Int,
+        bootS: Double,
+    ): Int {
+        val soonS = if (lavish) ctx.settings.workers.reportS * SOON_REPORTS else bootS * LONG_BOOT
+        val overS = maxOf((ctx.wallMs - list.minOf { it.submittedMs }) / MS_A_S.toDouble(), soonS / 2)
+        val jobs = list.size / overS * soonS
+        val tasks = list.map { it.spec.tasks }.average()
+        val leaving =
+            held *
+                minOf(
+                    1.0,
+                    soonS /
+                        list
+                            .last()
+                            .spec.estimateS
+                            .coerceAtLeast(1.0),
+                ) / 2
+        val likely = tasks * (jobs + Math.sqrt(jobs) * SURE_DEVIATIONS) - leaving
+        return Math.ceil(maxOf(likely, list.maxOf { it.spec.tasks }.toDouble())).toInt()
     }
 
     private fun remember(job: Job) {
@@ -67,7 +144,7 @@
     /** For lanes with a wait aim, room for a job of the usual size, as long as jobs of it come. */
     private fun headroom(): List<Need> =
         waits.mapNotNull { aim ->
-            val list = recent[aim.lane]?.takeIf { it.isNotEmpty() && !driedUp(it) } ?: return@mapNotNull null
+            val list = recent[aim.lane]?.takeIf { !it.last().spec.gang && !driedUp(it) } ?: return@mapNotNull null
             val usual = list.map { it.spec.tasks }.average()
             Need(list.last().spec, Math.ceil(usual * ctx.settings.operator.headroom).toInt(), Double.MAX_VALUE, 0)
         }
@@ -83,6 +160,12 @@
     private companion object {
         const val REMEMBERED = 10
         const val DRY_GAPS = 8
+        const val BET_MACHINES = 2
+
+        /** Boots take up to half as long again as their type's figure. */
+        const val LONG_BOOT = 1.5
+        const val SOON_REPORTS = 4
+        const val SURE_DEVIATIONS = 2.0
         const val MS_A_S = 1000
 
         /** Estimates are often wrong by half. */
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -70,6 +70,9 @@
 
     val returnsIdle: Boolean get() = !demand.lavish
 
+    /** Room that is to be kept for gangs that surely come soon. */
+    fun expectedGangs(): List<Demand.Need> = catalog?.let { demand.expectedGangs(it) }.orEmpty()
+
     fun clear() {
         rentals.clear()
         refusedUntil.clear()
@@ -297,6 +300,7 @@
 
     private fun plan() {
         val types = catalog ?: return
+        demand.observe()
         discard(types)
         if (demand.lavish) rentEverything(types) else rentNeeded(types)
     }
@@ -395,12 +399,12 @@
     private fun rentNeeded(types: Catalog) {
         val slots = coming(types)
         val wanted = LinkedHashMap<Offer, Int>()
-        val needs = demand.wanted()
+        val needs = demand.wanted(types)
         val scarce = demand.indispensable(types)
         val behind = HashMap<String, Int>()
         val given = HashMap<String, Int>()
         for (need in needs) {
-            val spec = need.spec
+            val spec = together(need, slots, types)
             var left = need.tasks
             for (slot in slots) {
                 if (left == 0) break
@@ -427,6 +431,20 @@
         returnIdle(slots)
     }
 
+    /** A gang that must be in one zone finds its room, and what is rented for it, in the zone that has most of it already. */
+    private fun together(
+        need: Demand.Need,
+        slots: List<Slot>,
+        types: Catalog,
+    ): JobSpec {
+        val spec = need.spec
+        if (!spec.gang || !spec.oneZone || spec.zone != null) return spec
+        val zones = types.allowed(spec).flatMap { it.zones }.distinct()
+        if (zones.size < 2) return spec
+        val seats = zones.associateWith { zone -> slots.sumOf { if (it.zone == zone && it.allows(spec)) it.seats(spec.size) else 0 } }
+        return spec.copy(zone = zones.maxBy { minOf(need.tasks, seats.getValue(it)) })
+    }
+
     /** Whether [left] tasks would wait too long, [behind] others of their lane, for the room that others of it have or were [given]. */
     private fun presses(
         need: Demand.Need,
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -3,11 +3,13 @@
 import burlridge.app.Answer
 import burlridge.app.Context
 import burlridge.app.Json
+import burlridge.app.Team
 import burlridge.fleet.Fleet
 import burlridge.intent.Job
 import burlridge.intent.Ledger
 import burlridge.intent.Standing
 import burlridge.leadership.Leadership
+import burlridge.leadership.Versions
 import burlridge.peer.Peers
 import burlridge.store.Condition
 import burlridge.store.Op
@@ -26,6 +28,7 @@
     private val ledger: Ledger,
     private val fleet: Fleet,
     private val peers: Peers,
+    private val versions: Versions,
     private val onAccepted: () -> Unit,
 ) {
     /** Set once a new leader has read all rows. */
@@ -42,6 +45,52 @@
         body: String,
         passedOn: Boolean,
         then: (Answer) -> Unit,
+    ) {
+        val node = Json.parseOrNull(body)
+        if (node?.path("shape")?.asText() == JobSpec.GANG) {
+            gate(node, then) { route(body, passedOn, then) }
+        } else {
+            route(body, passedOn, then)
+        }
+    }
+
+    /**
+     * A gang is taken once every member knows gangs, and never passed to one that may not. Until then it is refused at once; what
+     * has been accepted is told all the same.
+     */
+    private fun gate(
+        node: JsonNode,
+        then: (Answer) -> Unit,
+        go: () -> Unit,
+    ) {
+        val id = node.path("id").asText("")
+        when {
+            ctx.settings.workers.gang == null -> {
+                refuseUnlessKnown(node, Answer.error(400, "this deployment serves no gangs: params.workers sets no gang times"), then)
+            }
+
+            versions.allKnowGangs || ledger.end(id) != null || ledger.jobs.containsKey(id) -> {
+                go()
+            }
+
+            else -> {
+                versions.ask { all ->
+                    when (all) {
+                        true -> go()
+                        false -> refuseUnlessKnown(node, Answer.unavailable("not every member knows gangs yet", waitS), then)
+                        null -> then(Answer.unavailable("the state service does not answer"))
+                    }
+                }
+            }
+        }
+    }
+
+    private val waitS = Math.ceil(ctx.settings.workers.reportS).toInt()
+
+    private fun route(
+        body: String,
+        passedOn: Boolean,
+        then: (Answer) -> Unit,
     ) {
         val helper = if (passedOn) null else peers.served()
         when {
@@ -103,9 +152,38 @@
         val team = ctx.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
         if (team.cpusMax > 0 && spec.size.cpus > team.cpusMax) return "a task needs more CPUs than the limit of ${team.name}"
         if (team.gpusMax > 0 && spec.size.gpus > team.gpusMax) return "a task needs more GPUs than the limit of ${team.name}"
-        return if (fitsNothing) "a task fits no allowed machine type" else null
+        if (fitsNothing) return "a task fits no allowed machine type"
+        if (!store.holds(liveRow(spec))) return "the description is longer than the state service takes"
+        return if (spec.gang) neverGathers(spec, team) else null
     }
 
+    private fun neverGathers(
+        spec: JobSpec,
+        team: Team,
+    ): String? {
+        val all = spec.size * spec.tasks
+        val zones =
+            fleet.catalog
+                ?.allowed(spec)
+                .orEmpty()
+                .flatMap { it.zones }
+                .distinct()
+                .size
+        return when {
+            team.cpusMax > 0 && all.cpus > team.cpusMax -> "all tasks together need more CPUs than the limit of ${team.name}"
+            team.gpusMax > 0 && all.gpus > team.gpusMax -> "all tasks together need more GPUs than the limit of ${team.name}"
+            spec.spread && spec.tasks > 1 && (spec.oneZone || zones < 2) -> "its tasks can be in one zone only, and must be spread"
+            else -> null
+        }
+    }
+
+    private fun liveRow(spec: JobSpec): JsonNode =
+        Json.obj {
+            set<JsonNode>("job", spec.encode())
+            put("fp", spec.fingerprint)
+            put("at", ctx.wallMs)
+        }
+
     private fun refuseUnlessKnown(
         node: JsonNode?,
         refusal: Answer,
@@ -136,12 +214,7 @@
         spec: JobSpec,
         then: (Answer) -> Unit,
     ) {
-        val row =
-            Json.obj {
-                set<JsonNode>("job", spec.encode())
-                put("fp", spec.fingerprint)
-                put("at", ctx.wallMs)
-            }
+        val row = liveRow(spec)
         val txn =
             Txn(
                 listOf(Condition("live/${spec.id}", 0), Condition("over/${spec.id}", 0)),
@@ -162,7 +235,7 @@
                     then(Answer.unavailable("the state service has not answered"))
                 }
 
-                TxnResult.Refused, TxnResult.NoLease -> {
+                TxnResult.Refused, TxnResult.NoLease, TxnResult.TooLarge -> {
                     then(Answer.unavailable("the state service takes no more at the moment"))
                 }
             }
--- a/src/main/kotlin/burlridge/intake/JobSpec.kt
+++ b/src/main/kotlin/burlridge/intake/JobSpec.kt
@@ -28,6 +28,8 @@
 
     operator fun minus(other: Size): Size = Size(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
 
+    operator fun times(tasks: Int): Size = Size(cpus * tasks, gpus * tasks, memoryGb * tasks)
+
     operator fun plus(other: Size): Size = Size(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb)
 
     internal companion object {
@@ -55,6 +57,8 @@
     val checkpointS: Double,
     val saveS: Double,
     val deadlineS: Double?,
+    /** All tasks run at the same time or none does. */
+    val gang: Boolean = false,
 ) {
     /** The same for every repeat of the same submission. */
     val fingerprint: String by lazy {
@@ -70,7 +74,7 @@
             put("id", id)
             put("lane", lane)
             put("crew", team)
-            put("shape", "array")
+            put("shape", if (gang) GANG else ARRAY)
             put("urgency", priority.wire)
             put("pieces", tasks)
             put("vcpus", size.cpus)
@@ -90,6 +94,8 @@
         }
 
     internal companion object {
+        const val ARRAY = "array"
+        const val GANG = "ensemble"
         private const val FINGERPRINT_CHARS = 16
         const val MOST_TASKS = 100_000
         private const val LONGEST_TEXT = 200
@@ -103,7 +109,8 @@
             if (!body.isObject) throw BadJob("the body is not an object")
             val id = body.string("id")
             if (!isId(id)) throw BadJob("id must look like j-000412")
-            if (body.string("shape") != "array") throw BadJob("shape must be \"array\"")
+            val shape = body.string("shape")
+            if (shape != ARRAY && shape != GANG) throw BadJob("shape must be \"$ARRAY\" or \"$GANG\"")
             val tasks = body.whole("pieces")
             if (tasks !in 1..MOST_TASKS) throw BadJob("pieces must be from 1 to $MOST_TASKS")
             val size = Size(body.amount("vcpus"), body.amount("gpus"), body.amount("ramGb"))
@@ -128,6 +135,7 @@
                 checkpointS = body.amount("markEveryS"),
                 saveS = body.amount("markCostS"),
                 deadlineS = body.present("dueS")?.let { body.amount("dueS") },
+                gang = shape == GANG,
             )
         }
 
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -27,11 +27,17 @@
     /** Done or claimed: what no placement round need look at. */
     val taken: BitSet = BitSet()
 
-    /** Stamps of the progress rows, one for each chunk of tasks. */
-    val progress: Int2ObjectOpenHashMap<Long> = Int2ObjectOpenHashMap()
+    /** Keys of the progress rows there are, or may be. */
+    val progress: LinkedHashSet<String> = LinkedHashSet()
     val claims: Int2ObjectOpenHashMap<Claim> = Int2ObjectOpenHashMap()
     val lastRun: Int2IntOpenHashMap = Int2IntOpenHashMap()
+
+    /** The highest run number of any task; to a gang, the number of its last attempt. */
+    var highestRun: Int = 0
     val notBefore: Int2DoubleOpenHashMap = Int2DoubleOpenHashMap()
+
+    /** Set while the claims of a broken attempt are let go. */
+    var breaking: Boolean = false
     val whenOver: ArrayList<(Standing) -> Unit> = ArrayList()
     var failures: Int = 0
     var flushing: Boolean = false
@@ -63,11 +69,24 @@
     /** Whether any of its tasks has ever been claimed. */
     val begun: Boolean get() = !done.isEmpty || lastRun.isNotEmpty()
 
+    fun note(claim: Claim) {
+        lastRun.put(claim.task, maxOf(claim.run, lastRun.get(claim.task)))
+        highestRun = maxOf(highestRun, claim.run)
+    }
+
     fun waits(
         task: Int,
         now: Double,
     ): Boolean = !done.get(task) && !claims.containsKey(task) && notBefore.getOrDefault(task, 0.0) <= now
 
+    /** Nothing of [task] is tried again before [until]; a gang waits as a whole. */
+    fun holdOff(
+        task: Int,
+        until: Double,
+    ) {
+        notBefore.put(if (spec.gang) 0 else task, until)
+    }
+
     private companion object {
         const val FEW = 4
     }
@@ -85,6 +104,9 @@
 
     /** The machine has it, fetching its image. */
     FETCHING,
+
+    /** It has its image and waits for the others of its gang. */
+    GATHERING,
     RUNNING,
     SAVING,
     ENDED,
@@ -106,6 +128,9 @@
     var round: Round? = null
     var lost: Boolean = false
 
+    /** Its row has been written. */
+    var durable: Boolean = false
+
     /** Claimed by an earlier leader. */
     var inherited: Boolean = false
     var claimedAt: Double = 0.0
@@ -116,6 +141,9 @@
     /** Set once the task is to be stopped, with the time it is given. */
     var stopGraceS: Double? = null
     var stopSentAt: Double = -1e9
+
+    /** Its worker has answered the command to stop. */
+    var stopTold: Boolean = false
     val ended: Boolean get() = phase == Phase.ENDED
 }
 
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -14,7 +14,6 @@
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
 import com.google.common.cache.CacheBuilder
-import java.util.Base64
 import java.util.BitSet
 
 /** The leader's picture of jobs and claims, each of its changes written under the fence of its term. */
@@ -42,6 +41,10 @@
         private set
     private var flushing = 0
     private var lastCleanAt = 0.0
+    private val progress = Progress(ctx.settings.store.valueBytes)
+
+    /** Progress rows of jobs that are over, still to be removed. */
+    private val leftovers = LinkedHashSet<String>()
 
     /** Ends once told stay told; only durable ones get in here. */
     private val ends = CacheBuilder.newBuilder().maximumSize(ENDS_KEPT).build<String, End>()
@@ -72,13 +75,17 @@
         nextRound = 0
         claiming = 0
         flushing = 0
+        leftovers.clear()
     }
 
     fun usedOn(machine: String): Size = usedOn[machine] ?: Size.NONE
 
-    /** Starts and jobs that one row and its transaction's conditions hold. */
-    val mostStarts: Int = ctx.settings.store.valueBytes / BYTES_A_START
-    val mostJobs: Int = minOf(ctx.settings.store.txnOps * CONDITIONS_AN_OP - 2, ctx.settings.store.valueBytes / BYTES_A_JOB)
+    /** Starts and jobs that one row and its transaction's conditions hold; fewer once a row has turned out too large. */
+    var mostStarts: Int = (ctx.settings.store.valueBytes / BYTES_A_START).coerceAtLeast(1)
+        private set
+    var mostJobs: Int =
+        minOf(ctx.settings.store.txnOps * Store.CONDITIONS_AN_OP - 2, ctx.settings.store.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
+        private set
 
     fun fence(): Condition = Condition(Leadership.TERM, leadership.fence)
 
@@ -105,16 +112,16 @@
     }
 
     fun loadProgress(row: Row) {
-        val parts = row.key.split('/')
-        val job = jobs[parts.getOrNull(1)] ?: return
-        val chunk = parts.getOrNull(2)?.toIntOrNull() ?: return
-        val bits = BitSet.valueOf(Base64.getDecoder().decode(row.value.path("bits").asText()))
-        bits.stream().forEach {
-            job.done.set(chunk * CHUNK + it)
-            job.taken.set(chunk * CHUNK + it)
-            job.durable.set(chunk * CHUNK + it)
+        val job = jobs[Progress.jobOf(row)]
+        if (job == null) {
+            leftovers += row.key
+            return
         }
-        job.progress.put(chunk, row.stamp)
+        val done = progress.decode(row) ?: return
+        job.done.or(done)
+        job.taken.or(done)
+        job.durable.or(done)
+        job.progress += row.key
     }
 
     fun markDone(
@@ -123,8 +130,10 @@
     ) {
         if (!job.done.get(task)) {
             if (job.done.cardinality() == job.durable.cardinality()) job.unwrittenSince = ctx.now
-            job.done.set(task)
-            job.taken.set(task)
+            // The tasks of a gang complete together: if one is done, all are.
+            val (first, end) = if (job.spec.gang) 0 to job.spec.tasks else task to task + 1
+            job.done.set(first, end)
+            job.taken.set(first, end)
         }
         if (job.complete) finish(job, Standing.DONE)
     }
@@ -143,15 +152,18 @@
                 put("fp", job.spec.fingerprint)
                 put("n", job.spec.tasks)
             }
+        // Progress rows that this transaction has no room for are removed afterwards, or by a later leader that finds them.
+        val removed = job.progress.take((ctx.settings.store.txnOps - 2).coerceAtLeast(0))
         val txn =
             Txn(
                 listOf(fence(), Condition("live/$id", job.stamp), Condition("over/$id", 0)),
-                listOf(Op.Delete("live/$id"), Op.Put("over/$id", row)) + job.progress.keys.map { Op.Delete("prog/$id/$it") },
+                listOf(Op.Delete("live/$id"), Op.Put("over/$id", row)) + removed.map { Op.Delete(it) },
             )
         val urgency = if (standing == Standing.DONE) Urgency.FINISH else Urgency.USER
         store.ensure(txn, urgency, stillMine(leadership.term)) { result ->
             when (result) {
                 is TxnResult.Done -> {
+                    job.progress -= removed.toSet()
                     ended(job, standing)
                 }
 
@@ -187,6 +199,11 @@
         job.over = standing
         ends.put(job.spec.id, End(standing, job.spec.fingerprint, job.spec.tasks))
         jobs.remove(job.spec.id)
+        leftovers += job.progress
+        // What was claimed and has not left will not be started any more.
+        job.claims.values
+            .filter { it.phase == Phase.CLAIMED }
+            .forEach { release(it, lost = true) }
         ctx.info("job ${job.spec.id} is ${standing.wire} after ${(ctx.wallMs - job.submittedMs) / 1000} s")
         job.whenOver.forEach { it(standing) }
         job.whenOver.clear()
@@ -194,10 +211,13 @@
 
     // --- claims
 
-    /** Reserves [claims] and writes their row; [then] is told whether they may be sent. */
+    /**
+     * Reserves [claims] and writes their row; [then] is told which may now be sent. Those of a gang may once all of its attempt are
+     * durable, in however many rows.
+     */
     fun claim(
         claims: List<Claim>,
-        then: (Boolean) -> Unit,
+        then: (List<Claim>) -> Unit,
     ) {
         val number = "${leadership.term}-${nextRound++}"
         val before = spare.removeLastOrNull()
@@ -226,15 +246,14 @@
         round: Round,
         before: Round?,
         result: TxnResult,
-        then: (Boolean) -> Unit,
+        then: (List<Claim>) -> Unit,
     ) {
         when (result) {
             is TxnResult.Done -> {
                 round.stamp = result.revision
                 round.writing = false
                 claiming--
-                round.claims.forEach { if (it.phase == Phase.CLAIMING) it.phase = Phase.CLAIMED }
-                then(true)
+                then(granted(round))
             }
 
             is TxnResult.Conflict -> {
@@ -251,22 +270,52 @@
                     // A job in it is over, so nothing was claimed.
                     else -> {
                         drop(round, before)
-                        then(false)
                     }
                 }
             }
 
             else -> {
+                if (result is TxnResult.TooLarge) {
+                    mostStarts = (mostStarts / 2).coerceAtLeast(1)
+                    mostJobs = (mostJobs / 2).coerceAtLeast(1)
+                }
                 drop(round, before)
-                then(false)
             }
         }
     }
 
+    private fun granted(round: Round): List<Claim> {
+        round.claims.forEach { it.durable = true }
+        val gangs = round.claims.mapNotNull { c -> jobs[c.job]?.takeIf { it.spec.gang } }.distinct()
+        val alone = round.claims.filter { it.phase == Phase.CLAIMING && jobs[it.job]?.spec?.gang != true }
+        val whole =
+            gangs.flatMap { job ->
+                val all = job.claims.values
+                if (!all.all { it.durable }) {
+                    emptyList()
+                } else if (all.size == job.spec.tasks) {
+                    all.toList()
+                } else {
+                    // One of them was lost while the row was being written.
+                    breakAttempt(job)
+                    emptyList()
+                }
+            }
+        return (alone + whole).filter { it.phase == Phase.CLAIMING }.onEach { it.phase = Phase.CLAIMED }
+    }
+
+    /** A task of a gang's attempt is gone, so the attempt is over. */
+    fun breakAttempt(job: Job) {
+        if (job.breaking) return
+        job.breaking = true
+        Gangs.broken(job).forEach { release(it, lost = true) }
+        job.breaking = false
+    }
+
     private fun readRound(
         round: Round,
         before: Round?,
-        then: (Boolean) -> Unit,
+        then: (List<Claim>) -> Unit,
     ) {
         val term = leadership.term
         store.get("round/${round.slot}", Urgency.CLAIM) { read ->
@@ -283,7 +332,6 @@
 
                 else -> {
                     drop(round, null)
-                    then(false)
                 }
             }
         }
@@ -307,7 +355,7 @@
         jobs[claim.job]?.let { job ->
             job.claims.put(claim.task, claim)
             job.taken.set(claim.task)
-            job.lastRun.put(claim.task, maxOf(claim.run, job.lastRun.get(claim.task)))
+            job.note(claim)
         }
         byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
         used.merge(claim.charge.team, claim.charge.size, Size::plus)
@@ -329,6 +377,7 @@
                 job.claims.remove(claim.task)
                 if (!job.done.get(claim.task)) job.taken.clear(claim.task)
             }
+            if (lost && job.spec.gang && claim.run == job.highestRun) breakAttempt(job)
         }
         used.merge(claim.charge.team, claim.charge.size, Size::minus)
         usedOn.merge(claim.machine, claim.charge.size, Size::minus)
@@ -343,9 +392,10 @@
         rounds[round.slot] = round
         round.claims.forEach { claim ->
             claim.round = round
+            claim.durable = true
             if (claim.lost) {
                 claim.phase = Phase.ENDED
-                jobs[claim.job]?.let { it.lastRun.put(claim.task, maxOf(claim.run, it.lastRun.get(claim.task))) }
+                jobs[claim.job]?.note(claim)
             } else {
                 hold(claim)
             }
@@ -373,9 +423,30 @@
                 }
             }
         }
+        settleGangs()
         jobs.values.toList().forEach { if (it.complete) finish(it, Standing.DONE) }
     }
 
+    /** An attempt that was claimed in part never began; one that has lost a task is over. */
+    private fun settleGangs() {
+        val claims = HashMap<Job, ArrayList<Claim>>()
+        for (round in rounds.values) {
+            for (claim in round.claims) {
+                val job = jobs[claim.job]?.takeIf { it.spec.gang && claim.run == it.highestRun } ?: continue
+                claims.getOrPut(job) { ArrayList() } += claim
+            }
+        }
+        for ((job, latest) in claims) {
+            if (Gangs.claimedInPart(job, latest)) {
+                job.breaking = true
+                latest.filter { !it.ended }.forEach { release(it, lost = true) }
+                job.breaking = false
+            } else if (latest.any { it.ended }) {
+                breakAttempt(job)
+            }
+        }
+    }
+
     // --- lazy writes
 
     fun tick() {
@@ -388,6 +459,7 @@
                 spare.addLast(round)
             }
         }
+        if (leftovers.isNotEmpty()) removeLeftovers()
         val unused = spare.takeWhile { ctx.now > (it.settledAt ?: ctx.now) + ctx.settings.workers.reportS }.take(ctx.settings.store.txnOps)
         if (unused.isNotEmpty()) remove(unused)
         rounds.values
@@ -416,14 +488,27 @@
         }
     }
 
+    private fun removeLeftovers() {
+        val some = leftovers.take(ctx.settings.store.txnOps)
+        leftovers -= some.toSet()
+        store.ensure(Txn(listOf(fence()), some.map { Op.Delete(it) }), Urgency.CLEANUP, stillMine(leadership.term)) { result ->
+            if (result !is TxnResult.Done) leadership.stepDown("its term has been passed")
+        }
+    }
+
+    /**
+     * Marks in its row which starts of [round] are lost, and leaves out what needs no remembering. A row from before the limits
+     * were lowered may be too large for that still: then its marks are not written, and a new leader waits for the reports.
+     */
     private fun rewrite(round: Round) {
-        round.writing = true
         round.stale = false
-        val txn =
-            Txn(
-                listOf(fence(), Condition("round/${round.slot}", round.stamp)),
-                listOf(Op.Put("round/${round.slot}", encode(round, leadership.term, claimedUntilMs()))),
-            )
+        val row = encode(round, leadership.term, claimedUntilMs(), round.claims.filter { jobs[it.job]?.spec?.gang == true || !settled(it) })
+        if (!store.holds(row)) {
+            ctx.debug("row round/${round.slot} is left as it is: it was written under larger limits")
+            return
+        }
+        round.writing = true
+        val txn = Txn(listOf(fence(), Condition("round/${round.slot}", round.stamp)), listOf(Op.Put("round/${round.slot}", row)))
         store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
             round.writing = false
             when (result) {
@@ -458,33 +543,29 @@
         if (job.done.cardinality() == job.durable.cardinality() || ctx.now < job.unwrittenSince + ctx.settings.workers.leaseS) return
         val fresh = job.done.clone() as BitSet
         fresh.andNot(job.durable)
-        val chunk = fresh.nextSetBit(0) / CHUNK
-        val written = job.done.get(chunk * CHUNK, (chunk + 1) * CHUNK)
-        val key = "prog/${job.spec.id}/$chunk"
-        val value = Json.obj { put("bits", Base64.getEncoder().encodeToString(written.toByteArray())) }
+        val part = progress.partOf(job, fresh.nextSetBit(0))
+        val written = job.done.get(part.first, part.end)
         job.flushing = true
         flushing++
         ctx.count("intent.progress")
         job.unwrittenSince = ctx.now
-        val txn = Txn(listOf(fence(), Condition("live/${job.spec.id}", job.stamp)), listOf(Op.Put(key, value)))
-        job.progress.putIfAbsent(chunk, 0L)
+        val txn =
+            Txn(listOf(fence(), Condition("live/${job.spec.id}", job.stamp)), listOf(Op.Put(part.key, progress.encode(job.done, part))))
+        job.progress += part.key
         store.ensure(txn, Urgency.FINISH, stillMine(leadership.term)) { result ->
             job.flushing = false
             flushing--
             when {
-                result is TxnResult.Done -> written.stream().forEach { job.durable.set(chunk * CHUNK + it) }
+                result is TxnResult.Done -> written.stream().forEach { job.durable.set(part.first + it) }
                 result is TxnResult.Conflict && Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
             }
         }
     }
 
     internal companion object {
-        /** Tasks a progress row covers: a bit each, in base64 well under the smallest value size that is sensible. */
-        const val CHUNK = 32_768
         private const val ENDS_KEPT = 20_000L
         private const val CLEAN_S = 1.0
         private const val MOST_FLUSHES = 4
-        private const val CONDITIONS_AN_OP = 4
         private const val MS_A_S = 1000
 
         /** What a start and a job's charge take of a row, with room to spare. */
--- a/src/main/kotlin/burlridge/intent/RoundRow.kt
+++ b/src/main/kotlin/burlridge/intent/RoundRow.kt
@@ -11,16 +11,17 @@
     round: Round,
     token: Long,
     untilMs: Long,
+    all: List<Claim> = round.claims,
 ): JsonNode =
     Json.obj {
-        val zones = round.claims.map { it.zone }.distinct()
+        val zones = all.map { it.zone }.distinct()
         put("st", "claimed")
         put("n", round.number)
         put("tok", token)
         put("until", untilMs)
-        putArray("zones").also { all -> zones.forEach(all::add) }
+        putArray("zones").also { array -> zones.forEach(array::add) }
         val jobs = putObject("jobs")
-        round.claims.groupBy { it.job }.forEach { (id, claims) ->
+        all.groupBy { it.job }.forEach { (id, claims) ->
             val charge = claims.first().charge
             val row = jobs.putArray(id)
             row
--- /dev/null
+++ b/src/main/kotlin/burlridge/leadership/Versions.kt
@@ -0,0 +1,71 @@
+package burlridge.leadership
+
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.store.Condition
+import burlridge.store.Op
+import burlridge.store.Store
+import burlridge.store.Txn
+import burlridge.store.Urgency
+
+/**
+ * Who runs a version that knows gangs. Each member of such a version leaves a row that lasts, since members are replaced a few at
+ * a time and one that was is not replaced back. Only once all have a row is a gang taken: an older leader could not read it, and
+ * would stop its tasks. The rows stand while members are down, so that an outage of one holds nothing up, and a member that
+ * starts reads them again.
+ */
+internal class Versions(
+    private val ctx: Context,
+    private val store: Store,
+) {
+    private val members = ctx.settings.others.mapTo(HashSet()) { it.member } + ctx.settings.member
+    private val wanted = ctx.settings.workers.gang != null
+
+    /** Once all know gangs they always will. */
+    var allKnowGangs: Boolean = false
+        private set
+    private var nextAt = 0.0
+    private var busy = false
+
+    fun tick() {
+        if (!wanted || allKnowGangs || busy || ctx.now < nextAt) return
+        look(Urgency.CLEANUP) {}
+    }
+
+    /** Tells whether all members know gangs, reading their rows where that is not certain yet; null where they cannot be read. */
+    fun ask(then: (Boolean?) -> Unit) {
+        if (allKnowGangs || !wanted) then(allKnowGangs) else look(Urgency.USER, then)
+    }
+
+    private fun look(
+        urgency: Urgency,
+        then: (Boolean?) -> Unit,
+    ) {
+        busy = true
+        nextAt = ctx.now + ctx.settings.workers.reportS
+        store.list(PREFIX, urgency) { listing ->
+            busy = false
+            if (listing == null) return@list then(null)
+            val known = listing.rows.filter { it.value.path("v").asInt() >= KNOWS_GANGS }.map { it.key.removePrefix(PREFIX) }
+            if (ctx.settings.member !in known) write()
+            if (!allKnowGangs && known.containsAll(members)) {
+                allKnowGangs = true
+                ctx.info("every member knows gangs: they are taken from now on")
+            }
+            then(allKnowGangs)
+        }
+    }
+
+    private fun write() {
+        val row = Json.obj { put("v", KNOWS_GANGS) }
+        val key = PREFIX + ctx.settings.member
+        store.txn(Txn(listOf(Condition(key, 0)), listOf(Op.Put(key, row))), Urgency.CLEANUP) {}
+    }
+
+    private companion object {
+        const val PREFIX = "version/"
+
+        /** The version before left no row. */
+        const val KNOWS_GANGS = 2
+    }
+}
--- a/src/main/kotlin/burlridge/peer/PeerLinks.kt
+++ b/src/main/kotlin/burlridge/peer/PeerLinks.kt
@@ -21,6 +21,7 @@
 internal class PeerLinks(
     private val settings: Settings,
     private val loop: EventLoop,
+    private val unknown: () -> Unit,
     private val receive: (PeerMessage) -> Unit,
 ) {
     private val queues = settings.others.associate { it.member to Channel<PeerMessage>(QUEUE, BufferOverflow.DROP_OLDEST) }
@@ -38,7 +39,8 @@
             while (true) {
                 val size = connection.input.readInt()
                 if (size !in 1..MOST_FRAME) break
-                receive(PeerMessage.decode(connection.input.readByteArray(size)))
+                // A kind of message that only a later version knows ends nothing: the frame is whole, and the next one may be known.
+                PeerMessage.decodeOrNull(connection.input.readByteArray(size))?.let(receive) ?: unknown()
             }
         }
     }
--- a/src/main/kotlin/burlridge/peer/PeerMessage.kt
+++ b/src/main/kotlin/burlridge/peer/PeerMessage.kt
@@ -60,5 +60,13 @@
         fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(serializer(), message)
 
         fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(serializer(), bytes)
+
+        /** Null for a kind that this version does not know, or for what is no message at all. */
+        fun decodeOrNull(bytes: ByteArray): PeerMessage? =
+            try {
+                decode(bytes)
+            } catch (_: IllegalArgumentException) {
+                null
+            }
     }
 }
--- /dev/null
+++ b/src/main/kotlin/burlridge/placement/Draft.kt
@@ -0,0 +1,67 @@
+package burlridge.placement
+
+import burlridge.intake.JobSpec
+import burlridge.intake.Size
+import burlridge.intent.Claim
+import burlridge.worker.Machine
+
+/** A machine with room, and what of it is free. */
+internal class Room(
+    val machine: Machine,
+    val whole: Size,
+    var free: Size,
+) {
+    /** How many tasks of [size] find room. */
+    fun seats(size: Size): Int {
+        fun part(
+            free: Double,
+            asked: Double,
+        ): Double = if (asked > 0) (free + SLACK) / asked else MANY
+        return minOf(part(free.cpus, size.cpus), part(free.gpus, size.gpus), part(free.memoryGb, size.memoryGb)).toInt().coerceAtLeast(0)
+    }
+
+    private companion object {
+        const val SLACK = 1e-9
+        const val MANY = 1e6
+    }
+}
+
+/** The machines with room of one type, zone and kind. */
+internal class Pool(
+    val whole: Size,
+    val first: Machine,
+    val rooms: ArrayList<Room> = ArrayList(),
+)
+
+/** What a job asks of a machine; where one job found no room, another that asks for no less need not look. */
+internal data class Ask(
+    val types: List<String>?,
+    val zone: String?,
+    val spot: Boolean,
+    val size: Size,
+)
+
+/** What one round has used up and found out. */
+internal class Draft(
+    val pools: List<Pool>,
+    val used: HashMap<String, Size>,
+) {
+    val claims = ArrayList<Claim>()
+    val jobs = HashSet<String>()
+    val vain = ArrayList<Ask>()
+
+    fun inVain(spec: JobSpec): Boolean =
+        vain.any { it.types == spec.types && it.zone == spec.zone && (it.spot || !spec.spot) && it.size.fits(spec.size) }
+
+    fun used(team: String): Size = used[team] ?: Size.NONE
+
+    /** The pools whose machines [spec] may use and that are large enough. */
+    fun poolsFor(spec: JobSpec): List<Pool> = pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }
+
+    private fun allows(
+        spec: JobSpec,
+        machine: Machine,
+    ): Boolean =
+        (spec.types == null || machine.type in spec.types) && (spec.zone == null || spec.zone == machine.zone) &&
+            (spec.spot || !machine.spot)
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/placement/Fit.kt
@@ -0,0 +1,101 @@
+package burlridge.placement
+
+import burlridge.app.Context
+import burlridge.fleet.Fleet
+import burlridge.intake.JobSpec
+import burlridge.intake.Size
+import burlridge.worker.Machine
+
+/** Best fit over a few sampled machines. */
+internal class Fit(
+    private val ctx: Context,
+    private val fleet: Fleet,
+) {
+    private val sampleSize = ctx.settings.operator.sample
+
+    fun overLimit(
+        name: String,
+        use: Size,
+    ): Boolean {
+        val team = ctx.settings.teams[name] ?: return true
+        return (team.cpusMax > 0 && use.cpus > team.cpusMax) || (team.gpusMax > 0 && use.gpus > team.gpusMax)
+    }
+
+    fun fits(
+        spec: JobSpec,
+        zones: Map<String, Int>,
+        room: Room,
+    ): Boolean = spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
+
+    private fun zoneAllows(
+        spec: JobSpec,
+        zones: Map<String, Int>,
+        zone: String,
+    ): Boolean {
+        if (spec.oneZone && zones.keys.any { it != zone }) return false
+        return !spec.spread || (zones[zone] ?: 0) < (spec.tasks + 1) / 2
+    }
+
+    /** Best fit over a sample drawn from [rooms]; what is drawn and has no room any more is struck out. */
+    fun sample(
+        rooms: MutableList<Room>,
+        spec: JobSpec,
+        zones: Map<String, Int>,
+    ): Room? {
+        var best: Room? = null
+        var least = Double.MAX_VALUE
+        var drawn = 0
+        // Drawn ones go to the end, so that none is drawn twice.
+        var open = rooms.size
+        while (drawn < sampleSize && open > 0) {
+            val at = ctx.random.nextInt(open)
+            val room = rooms[at]
+            open--
+            ctx.count("placement.candidates")
+            rooms[at] = rooms[open]
+            rooms[open] = room
+            if (!fits(spec, zones, room)) {
+                rooms[open] = rooms.last()
+                rooms.removeLast()
+                continue
+            }
+            drawn++
+            val left = leftover(room, spec)
+            if (left < least) {
+                best = room
+                least = left
+            }
+        }
+        return best
+    }
+
+    private fun leftover(
+        room: Room,
+        spec: JobSpec,
+    ): Double {
+        val left = room.free - spec.size
+        val memoryUnit = room.whole.memoryGb.coerceAtLeast(1.0) / room.whole.cpus.coerceAtLeast(1.0)
+        return left.cpus + left.gpus * GPU_WEIGHT + left.memoryGb / memoryUnit / 2 + fetchS(room.machine, spec) * CPUS_A_SECOND
+    }
+
+    fun fetchS(
+        machine: Machine,
+        spec: JobSpec,
+    ): Double {
+        if (spec.image in machine.images) return 0.0
+        val rate = fetchGbPerS(machine.type)
+        return if (rate > 0) spec.imageGb / rate else 0.0
+    }
+
+    fun fetchGbPerS(type: String): Double =
+        fleet.catalog
+            ?.types
+            ?.get(type)
+            ?.fetchGbPerS ?: 0.0
+
+    private companion object {
+        /** A second of fetching weighs as much as so many CPUs left over. */
+        const val CPUS_A_SECOND = 0.5
+        const val GPU_WEIGHT = 16.0
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/placement/GangPlacement.kt
@@ -0,0 +1,132 @@
+package burlridge.placement
+
+import burlridge.app.Context
+import burlridge.fleet.Fleet
+import burlridge.intake.JobSpec
+import burlridge.intent.Charge
+import burlridge.intent.Claim
+import burlridge.intent.Gangs
+import burlridge.intent.Job
+import burlridge.worker.Workers
+
+/**
+ * Seats for a whole gang or for none of it: one plan decides zone, machines and the team's limit for all tasks at once, and one
+ * run number is claimed for them all.
+ */
+internal class GangPlacement(
+    private val ctx: Context,
+    private val workers: Workers,
+    private val fleet: Fleet,
+    private val fit: Fit,
+) {
+    /** Within which a lane's gangs are to start. */
+    private val startWithin =
+        ctx.settings.objectives
+            .filter { it.kind == "wait" && it.lane != null && it.withinS != null }
+            .groupBy { it.lane }
+            .mapValues { (_, aims) -> aims.minOf { it.withinS ?: Double.MAX_VALUE } }
+
+    /** A gang whose lane is to start at once: it is placed first, and room for the next one is kept. */
+    fun isEarly(job: Job): Boolean = job.spec.gang && startWithin.containsKey(job.spec.lane)
+
+    /** Whether the next attempt may be claimed: nothing of the last one, nor any stray of it, is left anywhere. */
+    fun mayBegin(job: Job): Boolean =
+        Gangs.state(job) == Gangs.State.FREE && job.notBefore.getOrDefault(0, 0.0) <= ctx.now && !workers.hasStrays(job.spec.id)
+
+    /** Where there is no room for all, what there is is kept from those that come after, until it is enough. */
+    fun place(
+        job: Job,
+        draft: Draft,
+    ) {
+        val spec = job.spec
+        val after = draft.used(spec.team) + spec.size * spec.tasks
+        if (fit.overLimit(spec.team, after)) return
+        val groups = groups(spec, draft)
+        for (rooms in groups) {
+            val seats = seat(spec, spec.tasks, rooms)
+            if (seats.size == spec.tasks) {
+                draft.used[spec.team] = after
+                draft.jobs += spec.id
+                val run = job.highestRun + 1
+                seats.forEachIndexed { task, room -> draft.claims += claim(spec, task, run, room) }
+                return
+            }
+            seats.forEach { it.free += spec.size }
+        }
+        groups.maxByOrNull { rooms -> rooms.sumOf { it.seats(spec.size) } }?.let { seat(spec, spec.tasks, it) }
+    }
+
+    /** Room for the gangs that surely come soon is kept from all other work. */
+    fun keepRoom(draft: Draft) {
+        for (need in fleet.expectedGangs()) {
+            groups(need.spec, draft).firstOrNull()?.let { seat(need.spec, need.tasks, it) }
+        }
+    }
+
+    private fun claim(
+        spec: JobSpec,
+        task: Int,
+        run: Int,
+        room: Room,
+    ): Claim = Claim(spec.id, task, run, room.machine.id, room.machine.session, room.machine.zone, Charge(spec.team, spec.size))
+
+    /** The rooms that may hold the gang together: those of a zone where it must be one, the zone that holds its image first. */
+    private fun groups(
+        spec: JobSpec,
+        draft: Draft,
+    ): List<List<Room>> {
+        val rooms = draft.poolsFor(spec).flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
+        if (!spec.oneZone) return listOf(rooms)
+
+        fun seats(of: List<Room>) = of.sumOf { it.seats(spec.size) }
+        return rooms
+            .groupBy { it.machine.zone }
+            .values
+            .sortedWith(
+                compareByDescending<List<Room>> { zone -> minOf(spec.tasks, seats(zone.filter { spec.image in it.machine.images })) }
+                    .thenByDescending { seats(it) },
+            )
+    }
+
+    /** Takes room for up to [tasks] of [spec] in [rooms]: where the image is, then where it is fetched in time, the smallest first. */
+    private fun seat(
+        spec: JobSpec,
+        tasks: Int,
+        rooms: List<Room>,
+    ): List<Room> {
+        val seats = ArrayList<Room>()
+        val zones = HashMap<String, Int>()
+        for (group in preferred(spec, rooms)) {
+            // Where idle machines are returned, those in use go first, so that others fall idle.
+            val (idle, inUse) = group.partition { fleet.returnsIdle && it.free == it.whole }
+            val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
+            while (seats.size < tasks) {
+                // The machine that the last one has gone to fetches the image anyway.
+                val room =
+                    seats.lastOrNull()?.takeIf { fit.fits(spec, zones, it) }
+                        ?: fit.sample(shared, spec, zones) ?: fit.sample(empty, spec, zones) ?: break
+                room.free -= spec.size
+                zones.merge(room.machine.zone, 1, Int::plus)
+                seats += room
+            }
+            if (seats.size == tasks) break
+        }
+        return seats
+    }
+
+    private fun preferred(
+        spec: JobSpec,
+        rooms: List<Room>,
+    ): List<List<Room>> {
+        val (holders, others) = rooms.partition { spec.image in it.machine.images }
+        val limitS = startWithin[spec.lane] ?: Double.MAX_VALUE
+        val byType = others.groupBy { it.machine.type }.values
+        val (quick, slow) = byType.partition { fit.fetchS(it.first().machine, spec) * SLOW_FETCH <= limitS }
+        return listOf(holders) + quick + slow.sortedBy { fit.fetchS(it.first().machine, spec) }
+    }
+
+    private companion object {
+        /** A fetch takes up to a third longer than its type's rate says, and what goes before it takes some time as well. */
+        const val SLOW_FETCH = 1.5
+    }
+}
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -30,42 +30,8 @@
         ctx.settings.objectives
             .filter { it.kind == "finished" && it.lane != null && it.withinS != null }
             .associate { it.lane to it.withinS }
-    private val sampleSize = ctx.settings.operator.sample
-
-    /** A machine with room, and what of it is free. */
-    private class Room(
-        val machine: Machine,
-        val whole: Size,
-        var free: Size,
-    )
-
-    /** The machines with room of one type, zone and kind. */
-    private class Pool(
-        val whole: Size,
-        val first: Machine,
-        val rooms: ArrayList<Room> = ArrayList(),
-    )
-
-    /** What a job asks of a machine; where one job found no room, another that asks for no less need not look. */
-    private data class Ask(
-        val types: List<String>?,
-        val zone: String?,
-        val spot: Boolean,
-        val size: Size,
-    )
-
-    /** What one round has used up and found out. */
-    private class Draft(
-        val pools: List<Pool>,
-        val used: HashMap<String, Size>,
-    ) {
-        val claims = ArrayList<Claim>()
-        val jobs = HashSet<String>()
-        val vain = ArrayList<Ask>()
-
-        fun inVain(spec: JobSpec): Boolean =
-            vain.any { it.types == spec.types && it.zone == spec.zone && (it.spot || !spec.spot) && it.size.fits(spec.size) }
-    }
+    private val fit = Fit(ctx, fleet)
+    private val gangs = GangPlacement(ctx, workers, fleet, fit)
 
     /** One round: as many waiting tasks as there is room for and one row holds. */
     fun round() {
@@ -75,22 +41,29 @@
         val draft = Draft(pools(), HashMap(ledger.used))
         ctx.count("placement.rounds")
         if (draft.pools.isEmpty()) return
-        for (job in queue) {
-            if (draft.claims.size >= ledger.mostStarts || draft.jobs.size >= ledger.mostJobs) break
-            if (!draft.inVain(job.spec)) place(job, draft)
+        val (early, others) = queue.partition { gangs.isEarly(it) }
+        early.forEach { if (!full(draft)) gangs.place(it, draft) }
+        gangs.keepRoom(draft)
+        for (job in others) {
+            if (full(draft)) break
+            if (job.spec.gang) {
+                gangs.place(job, draft)
+            } else if (!draft.inVain(job.spec)) {
+                place(job, draft)
+            }
         }
-        val claims = draft.claims
-        if (claims.isEmpty()) return
-        ctx.debug("claims ${claims.size} starts of ${draft.jobs.size} jobs")
-        ledger.claim(claims) { granted ->
-            if (granted) {
-                claims.map { it.machine }.distinct().forEach { id ->
-                    workers.machines[id]?.let(workers::command)
-                }
+        if (draft.claims.isEmpty()) return
+        ctx.debug("claims ${draft.claims.size} starts of ${draft.jobs.size} jobs")
+        // Only a gang is claimed beyond what one row holds: it begins once all its rows are written.
+        draft.claims.chunked(ledger.mostStarts).forEach { claims ->
+            ledger.claim(claims) { granted ->
+                granted.map { it.machine }.distinct().forEach { id -> workers.machines[id]?.let(workers::command) }
             }
         }
     }
 
+    private fun full(draft: Draft): Boolean = draft.claims.size >= ledger.mostStarts || draft.jobs.size >= ledger.mostJobs
+
     /** The smallest machines first: a task that fits one should not break up a larger one. */
     private fun pools(): List<Pool> {
         val catalog = fleet.catalog ?: return emptyList()
@@ -134,7 +107,7 @@
      */
     fun queue(): List<Job> {
         val turns =
-            ledger.jobs.values.filter { it.ending == null && it.waiting > 0 }.map {
+            ledger.jobs.values.filter { it.ending == null && it.waiting > 0 && (!it.spec.gang || gangs.mayBegin(it)) }.map {
                 Turn(it, tooLate(it), load(it.spec.team), rank(it), ageS(it))
             }
         if (turns.isEmpty()) return emptyList()
@@ -184,7 +157,7 @@
         val zones = HashMap<String, Int>()
         if (spec.oneZone || spec.spread) job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
         var task = next(job, 0)
-        val pools = draft.pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }
+        val pools = draft.poolsFor(spec)
         // The design samples blindly; where time presses, a fetch is too much of it while another machine holds the image.
         if (presses(spec, pools)) {
             val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && spec.size.fits(it.free) } }
@@ -196,8 +169,8 @@
             ctx.count("placement.candidates", group.sumOf { it.rooms.size })
             task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, draft)
         }
-        val full = draft.claims.size >= ledger.mostStarts || overLimit(spec.team, (draft.used[spec.team] ?: Size.NONE) + spec.size)
-        if (task >= 0 && !full && !spec.oneZone && !spec.spread) draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
+        val stopped = draft.claims.size >= ledger.mostStarts || fit.overLimit(spec.team, draft.used(spec.team) + spec.size)
+        if (task >= 0 && !stopped && !spec.oneZone && !spec.spread) draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
     }
 
     private fun presses(
@@ -205,13 +178,7 @@
         pools: List<Pool>,
     ): Boolean {
         if (spec.lane in urgentLanes) return true
-        val slowest =
-            pools.minOfOrNull {
-                fleet.catalog
-                    ?.types
-                    ?.get(it.first.type)
-                    ?.fetchGbPerS ?: 0.0
-            } ?: return false
+        val slowest = pools.minOfOrNull { fit.fetchGbPerS(it.first.type) } ?: return false
         return spec.deadlineS != null && slowest > 0 && spec.imageGb / slowest > spec.estimateS * LONG_FETCH
     }
 
@@ -229,9 +196,9 @@
         val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
         val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
         while (task >= 0 && draft.claims.size < ledger.mostStarts) {
-            val after = (draft.used[spec.team] ?: Size.NONE) + spec.size
-            if (overLimit(spec.team, after)) break
-            val room = sample(shared, spec, zones) ?: sample(empty, spec, zones) ?: break
+            val after = draft.used(spec.team) + spec.size
+            if (fit.overLimit(spec.team, after)) break
+            val room = fit.sample(shared, spec, zones) ?: fit.sample(empty, spec, zones) ?: break
             if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
             room.free -= spec.size
             draft.used[spec.team] = after
@@ -243,14 +210,6 @@
         return task
     }
 
-    private fun overLimit(
-        name: String,
-        use: Size,
-    ): Boolean {
-        val team = ctx.settings.teams[name] ?: return true
-        return (team.cpusMax > 0 && use.cpus > team.cpusMax) || (team.gpusMax > 0 && use.gpus > team.gpusMax)
-    }
-
     /** The next task from [from] on that may be placed now, or -1. */
     private fun next(
         job: Job,
@@ -278,90 +237,9 @@
         Charge(job.spec.team, job.spec.size),
     )
 
-    private fun allows(
-        spec: JobSpec,
-        machine: Machine,
-    ): Boolean =
-        (spec.types == null || machine.type in spec.types) && (spec.zone == null || spec.zone == machine.zone) &&
-            (spec.spot || !machine.spot)
-
-    private fun zoneAllows(
-        spec: JobSpec,
-        zones: Map<String, Int>,
-        zone: String,
-    ): Boolean {
-        if (spec.oneZone && zones.keys.any { it != zone }) return false
-        return !spec.spread || (zones[zone] ?: 0) < (spec.tasks + 1) / 2
-    }
-
-    private fun fits(
-        spec: JobSpec,
-        zones: Map<String, Int>,
-        room: Room,
-    ): Boolean = spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
-
-    /** Best fit over a sample drawn from [rooms]; what is drawn and has no room any more is struck out. */
-    private fun sample(
-        rooms: MutableList<Room>,
-        spec: JobSpec,
-        zones: Map<String, Int>,
-    ): Room? {
-        var best: Room? = null
-        var least = Double.MAX_VALUE
-        var drawn = 0
-        // Drawn ones go to the end, so that none is drawn twice.
-        var open = rooms.size
-        while (drawn < sampleSize && open > 0) {
-            val at = ctx.random.nextInt(open)
-            val room = rooms[at]
-            open--
-            ctx.count("placement.candidates")
-            rooms[at] = rooms[open]
-            rooms[open] = room
-            if (!fits(spec, zones, room)) {
-                rooms[open] = rooms.last()
-                rooms.removeLast()
-                continue
-            }
-            drawn++
-            val left = leftover(room, spec)
-            if (left < least) {
-                best = room
-                least = left
-            }
-        }
-        return best
-    }
-
-    private fun leftover(
-        room: Room,
-        spec: JobSpec,
-    ): Double {
-        val left = room.free - spec.size
-        val memoryUnit = room.whole.memoryGb.coerceAtLeast(1.0) / room.whole.cpus.coerceAtLeast(1.0)
-        return left.cpus + left.gpus * GPU_WEIGHT + left.memoryGb / memoryUnit / 2 + fetchS(room.machine, spec) * CPUS_A_SECOND
-    }
-
-    private fun fetchS(
-        machine: Machine,
-        spec: JobSpec,
-    ): Double {
-        if (spec.image in machine.images) return 0.0
-        val rate =
-            fleet.catalog
-                ?.types
-                ?.get(machine.type)
-                ?.fetchGbPerS ?: return 0.0
-        return if (rate > 0) spec.imageGb / rate else 0.0
-    }
-
     private companion object {
-        /** A second of fetching weighs as much as so many CPUs left over. */
-        const val CPUS_A_SECOND = 0.5
-
         /** Estimates are often too high; so much of one surely remains to be run. */
         const val SURE_PART = 0.3
-        const val GPU_WEIGHT = 16.0
 
         /** The part of a run that a fetch may take where a deadline presses. */
         const val LONG_FETCH = 0.1
--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -4,6 +4,7 @@
 import burlridge.app.Json
 import burlridge.app.Outcome
 import com.fasterxml.jackson.databind.JsonNode
+import com.google.common.base.Utf8
 
 internal data class Row(
     val key: String,
@@ -17,14 +18,16 @@
 )
 
 internal sealed interface Op {
+    val key: String
+
     data class Put(
-        val key: String,
+        override val key: String,
         val value: JsonNode,
         val tether: Long? = null,
     ) : Op
 
     data class Delete(
-        val key: String,
+        override val key: String,
     ) : Op
 }
 
@@ -48,6 +51,9 @@
     /** Possibly executed, or still to be executed. */
     data object Unknown : TxnResult
 
+    /** Larger than the state service takes, so never sent: repeating it would never help. */
+    data object TooLarge : TxnResult
+
     /** The tether is gone, whatever the conditions are. */
     data object NoLease : TxnResult
 }
@@ -162,11 +168,38 @@
                     putArray("then").apply { txn.ops.forEach { add(encode(it)) } }
                 },
             )
+        val excess = excess(txn, body)
+        if (excess != null) {
+            ctx.error("a transaction is not sent: $excess: ${txn.ops.joinToString(limit = 4) { it.key }}")
+            ctx.later(0.0) { then(TxnResult.TooLarge) }
+            return
+        }
         enqueue(urgency, txn.ops.size, patienceS, { then(TxnResult.Refused) }) {
             ctx.call(settings.state, "POST", "/multi", body, CALL_TIMEOUT_S) { outcome -> then(settle(outcome)) }
         }
     }
 
+    /** The one place where every transaction meets the limits, those announced for later included; null where it keeps them. */
+    private fun excess(
+        txn: Txn,
+        body: String,
+    ): String? {
+        val limits = settings.store
+        val largest = txn.ops.maxOfOrNull { if (it is Op.Put) bytesOf(it.value) else 0 } ?: 0
+        return when {
+            txn.ops.size > limits.txnOps -> "${txn.ops.size} changes of ${limits.txnOps}"
+            txn.conditions.size > limits.txnOps * CONDITIONS_AN_OP -> "${txn.conditions.size} conditions"
+            largest > limits.valueBytes -> "a value of $largest bytes of ${limits.valueBytes}"
+            body.length > MOST_BYTES / 2 && Utf8.encodedLength(body) > MOST_BYTES -> "more than $MOST_BYTES bytes"
+            else -> null
+        }
+    }
+
+    /** Whether [value] may stand in a row. */
+    fun holds(value: JsonNode): Boolean = bytesOf(value) <= settings.store.valueBytes
+
+    private fun bytesOf(value: JsonNode): Int = Utf8.encodedLength(Json.write(value))
+
     private fun encode(op: Op): JsonNode =
         when (op) {
             is Op.Put -> {
@@ -336,18 +369,21 @@
         }
     }
 
-    private companion object {
-        const val PAGE = 500
-        const val CALL_TIMEOUT_S = 2.0
-        const val READ_PATIENCE_S = 1.0
-        const val WRITE_PATIENCE_S = 1.0
-        const val PATIENT_S = 1e9
-        const val RETRY_S = 0.25
+    internal companion object {
+        /** Conditions that a transaction may have for each change that it may have. */
+        const val CONDITIONS_AN_OP = 4
+        private const val MOST_BYTES = 64 * 1024
+        private const val PAGE = 500
+        private const val CALL_TIMEOUT_S = 2.0
+        private const val READ_PATIENCE_S = 1.0
+        private const val WRITE_PATIENCE_S = 1.0
+        private const val PATIENT_S = 1e9
+        private const val RETRY_S = 0.25
 
         /** A member's burst, as a part of the shared limits of a second. */
-        const val BURST_PART = 5
+        private const val BURST_PART = 5
 
         /** The leader's part of the shared limits; the other members write submissions only. */
-        const val LEADER_PART = 0.6
+        private const val LEADER_PART = 0.6
     }
 }
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -7,6 +7,8 @@
 import burlridge.app.Outcome
 import burlridge.intake.JobSpec
 import burlridge.intent.Claim
+import burlridge.intent.Gangs
+import burlridge.intent.Job
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
 import burlridge.intent.Standing
@@ -62,6 +64,9 @@
 
     fun strays(piece: String): Boolean = strayCount.getInt(piece) > 0
 
+    /** Whether any task of [job] runs somewhere without a claim of ours. */
+    fun hasStrays(job: String): Boolean = strayCount.keys.any { it.substringBefore('/') == job }
+
     private fun setStrays(
         machine: Machine,
         strays: Set<String>,
@@ -200,14 +205,31 @@
         val before = claim.phase
         claim.phase =
             when (report.standing) {
-                "running" -> Phase.RUNNING
-                "saving" -> Phase.SAVING
-                else -> Phase.FETCHING
+                "fetching" -> {
+                    Phase.FETCHING
+                }
+
+                "gathering" -> {
+                    Phase.GATHERING
+                }
+
+                "running" -> {
+                    Phase.RUNNING
+                }
+
+                "saving" -> {
+                    Phase.SAVING
+                }
+
+                // A state of a later day: the machine has the task, and that is all that is known.
+                else -> {
+                    ctx.count("worker.unknown_words")
+                    ctx.info("machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.standing.take(WORD)}")
+                    maxOf(before, Phase.FETCHING)
+                }
             }
-        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING) {
-            if (!claim.inherited) claim.startedAt = ctx.now
-            ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
-        }
+        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) claim.startedAt = ctx.now
+        if (claim.phase >= Phase.GATHERING && before < Phase.GATHERING) ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
     }
 
     private fun remember(
@@ -249,15 +271,21 @@
                 ctx.info(
                     "task ${claim.piece} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
                 )
-                job.notBefore.put(claim.task, ctx.now + minOf(times.reportS * job.failures, times.leaseS))
+                job.holdOff(claim.task, ctx.now + minOf(times.reportS * job.failures, times.leaseS))
                 if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
                     machine.notBefore = ctx.now + times.leaseS
                 }
             }
 
+            // No fault of the machine or of the job: another task of the gang was gone, or late.
+            "peers", "incomplete" -> {
+                ctx.info("task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.cause}")
+            }
+
             else -> {
-                ctx.info("start of ${claim.piece} refused by ${machine.id}: ${report.cause}")
-                job.notBefore.put(claim.task, ctx.now + times.reportS / 3)
+                if (report.cause !in REFUSALS) ctx.count("worker.unknown_words")
+                ctx.info("start of ${claim.piece} refused by ${machine.id}: ${report.cause?.take(WORD)}")
+                job.holdOff(claim.task, ctx.now + times.reportS / 3)
                 if (report.cause == "full") machine.notBefore = ctx.now + times.reportS / 3
             }
         }
@@ -315,7 +343,8 @@
                     orders.add(order("halt", report.piece, report.run, 0.0))
                 }
 
-                claim.stopGraceS != null && report.standing != "saving" -> {
+                // The tasks of a gang that saves are all told at the same time, by commands.
+                claim.stopGraceS != null && report.standing != "saving" && !(savesAsGang(claim)) -> {
                     orders.add(order("halt", report.piece, report.run, claim.stopGraceS))
                 }
             }
@@ -358,7 +387,7 @@
         val claims = ledger.byMachine[machine.id]?.values
         if (claims.isNullOrEmpty()) return
         val orders = Json.arr()
-        val starts = if (machine.hears) claims.filter { it.phase == Phase.CLAIMED && it.session == machine.session } else emptyList()
+        val starts = if (machine.hears) claims.filter { startable(it, machine) } else emptyList()
         val stops = claims.filter { wantsStop(it) }
         val fencing = machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
         if (starts.isEmpty() && stops.isEmpty() && !fencing) return
@@ -371,12 +400,22 @@
             orders.add(order("run", it.piece, it.run))
         }
         if (starts.isNotEmpty()) machine.runToken = machine.token
-        send(machine, address, orders, starts.take(MOST_ORDERS))
+        send(machine, address, orders, starts.take(MOST_ORDERS), stops)
     }
 
+    private fun startable(
+        claim: Claim,
+        machine: Machine,
+    ): Boolean =
+        claim.phase == Phase.CLAIMED && claim.session == machine.session && claim.stopGraceS == null &&
+            ledger.jobs[claim.job]?.let { it.ending != Standing.WITHDRAWN } == true
+
+    private fun savesAsGang(claim: Claim): Boolean = (claim.stopGraceS ?: 0.0) > 0 && ledger.jobs[claim.job]?.spec?.gang == true
+
     private fun wantsStop(claim: Claim): Boolean {
         if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
         if (claim.phase == Phase.SAVING && ledger.jobs[claim.job] != null) return false
+        if (claim.stopTold && savesAsGang(claim)) return false
         return claim.stopGraceS != null || ledger.jobs[claim.job] == null
     }
 
@@ -385,6 +424,7 @@
         address: Endpoint,
         orders: ArrayNode,
         starts: List<Claim>,
+        stops: List<Claim> = emptyList(),
     ) {
         machine.commanding = true
         ctx.count("worker.commands")
@@ -406,7 +446,7 @@
                 answer != null && report != null && (answer.status == 200 || answer.status == 409) -> {
                     machine.refusals = 0
                     // On 409 nothing was executed: what was to start has still to be sent.
-                    if (answer.status == 409) unsend(starts)
+                    if (answer.status == 409) unsend(starts) else stops.forEach { it.stopTold = true }
                     if (take(machine, report) && loaded) reconcile(machine)
                     if (machine.echoed shr TERM_SHIFT > leadership.term) {
                         leadership.stepDown("worker ${machine.id} has seen a higher token")
@@ -495,7 +535,12 @@
     }
 
     private fun unsend(starts: List<Claim>) {
-        starts.forEach { if (it.phase == Phase.SENT) it.phase = Phase.CLAIMED }
+        for (claim in starts) {
+            if (claim.phase != Phase.SENT) continue
+            claim.phase = Phase.CLAIMED
+            // Its gang's attempt was over before it could begin.
+            if (claim.stopGraceS != null) lose(claim, "never sent, and its gang is gone")
+        }
     }
 
     // --- losses
@@ -544,21 +589,56 @@
             )
             machine.leaving = true
             slowness.running(machine).forEach { claim ->
-                val spec = ledger.jobs[claim.job]?.spec ?: return@forEach
-                if (claim.stopGraceS == null) claim.stopGraceS = if (spec.checkpointS > 0) spec.saveS * 2 else 0.0
+                val job = ledger.jobs[claim.job] ?: return@forEach
+                val spec = job.spec
+                when {
+                    spec.gang -> stopGang(job, "machine ${machine.id} is slow", mustSave = false)
+                    claim.stopGraceS == null -> claim.stopGraceS = if (spec.checkpointS > 0) spec.saveS * Gangs.GRACE else 0.0
+                }
             }
         }
     }
 
     /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
     private fun drain(machine: Machine) {
+        val gangs = LinkedHashSet<Job>()
         for (claim in ledger.byMachine[machine.id]?.values.orEmpty()) {
-            val spec = ledger.jobs[claim.job]?.spec ?: continue
+            val job = ledger.jobs[claim.job] ?: continue
+            val spec = job.spec
+            if (spec.gang) {
+                gangs += job
+                continue
+            }
             if (claim.phase == Phase.RUNNING && spec.checkpointS > 0 && claim.stopGraceS == null) {
                 claim.stopGraceS = spec.saveS * 2
                 ctx.info("task ${claim.piece} is stopped on ${machine.id}: the cloud takes the machine back")
             }
         }
+        gangs.forEach { stopGang(it, "the cloud takes ${machine.id} back", mustSave = true) }
+    }
+
+    /**
+     * Stops a gang in order: every task is told at once, since the save fails unless all hear of it within a short time. One that
+     * cannot be told, or cannot save where it [mustSave], is left to run: it may yet end before its machine does.
+     */
+    private fun stopGang(
+        job: Job,
+        reason: String,
+        mustSave: Boolean,
+    ) {
+        val state = Gangs.state(job)
+        if (state != Gangs.State.RUNNING && state != Gangs.State.GATHERING) return
+        val on =
+            job.claims.values
+                .mapNotNull { machines[it.machine] }
+                .distinct()
+        if (state == Gangs.State.RUNNING) {
+            if (mustSave && job.spec.checkpointS <= 0) return
+            if (!on.all { it.up && it.hears && !it.lapsed && it.refusals == 0 && !silent(it) && reaches(it) }) return
+        }
+        ctx.info("gang ${job.spec.id} run ${job.highestRun} is stopped: $reason")
+        Gangs.stop(job).filter { it.phase == Phase.CLAIMED }.forEach { lose(it, reason) }
+        on.forEach { command(it) }
     }
 
     fun silent(machine: Machine): Boolean = ctx.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
@@ -604,5 +684,9 @@
         private const val SWEEPS_A_REPORT = 10
         private const val SILENT_REPORTS = 2.5
         private const val FAILURES_TO_QUARANTINE = 2
+        private val REFUSALS = setOf("full", "in_use", "unknown")
+
+        /** So much of a word that is not known is logged. */
+        private const val WORD = 20
     }
 }
