--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -286,6 +286,8 @@
 
     private fun granted(round: Round): List<Claim> {
         round.claims.forEach { it.durable = true }
+        // Of a job that has ended while the row was being written nothing is started any more.
+        round.claims.filter { it.job !in jobs }.forEach { release(it, lost = true) }
         val gangs = round.claims.mapNotNull { c -> jobs[c.job]?.takeIf { it.spec.gang } }.distinct()
         val alone = round.claims.filter { it.phase == Phase.CLAIMING && jobs[it.job]?.spec?.gang != true }
         val whole =
@@ -421,6 +423,8 @@
                     it.claims.put(claim.task, claim)
                     it.taken.set(claim.task)
                 }
+                // Rows come in no order of time: where an earlier run on the same machine was read last, it stood in this one's place.
+                byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
             }
         }
         settleGangs()
@@ -437,6 +441,10 @@
             }
         }
         for ((job, latest) in claims) {
+            // Nothing of an attempt is claimed before all of the one before is known to be gone.
+            job.claims.values
+                .filter { it.run < job.highestRun }
+                .forEach { release(it, lost = true) }
             if (Gangs.claimedInPart(job, latest)) {
                 job.breaking = true
                 latest.filter { !it.ended }.forEach { release(it, lost = true) }
--- /dev/null
+++ b/src/test/kotlin/burlridge/intent/LedgerTest.kt
@@ -0,0 +1,92 @@
+package burlridge.intent
+
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.app.Rehearsal
+import burlridge.app.Settings
+import burlridge.leadership.Leadership
+import burlridge.store.Row
+import burlridge.store.Store
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+/** What a new leader makes of the rows that it finds. */
+internal class LedgerTest {
+    private val ctx = Context(Settings.parse(Rehearsal.settings()), 1)
+    private val store = Store(ctx)
+    private val nobody =
+        object : Leadership.Events {
+            override fun onElected() = Unit
+
+            override fun onDeposed() = Unit
+        }
+    private val ledger = Ledger(ctx, store, Leadership(ctx, store, nobody))
+
+    private fun live(
+        job: String,
+        tasks: Int,
+        shape: String,
+    ) {
+        val row =
+            """{"job":{"id":"$job","lane":"l","crew":"crew","shape":"$shape","urgency":"high","pieces":$tasks,"vcpus":1.0,"gpus":0.0,
+            "ramGb":1.0,"bundle":"i","pullGb":1.0,"together":false,"spread":false,"loaners":true,"guessS":1.0,"markEveryS":0.0,
+            "markCostS":0.0},"fp":"x","at":0}"""
+        ledger.admit(job, Json.parse(row), 1)
+    }
+
+    /** Starts are task, run, machine, session, zone and whether lost. */
+    private fun round(
+        slot: String,
+        job: String,
+        vararg starts: String,
+    ) {
+        val jobs = """{"$job":["crew",1.0,0.0,1.0,[${starts.joinToString()}]]}"""
+        val value = """{"st":"claimed","n":"$slot","tok":1,"until":0,"zones":["a"],"jobs":$jobs}"""
+        ledger.loadRound(Row("round/$slot", Json.parse(value), 5))
+    }
+
+    private fun on(machine: String): Map<String, Int> =
+        ledger.byMachine[machine]
+            .orEmpty()
+            .mapValues { it.value.run }
+
+    /** Found by a day of drawn troubles: the later run was on no machine's list any more, and its job was never over. */
+    @Test
+    fun `of two runs on one machine the later stands, in whatever order their rows are read`() {
+        live("j-1", 1, "array")
+        round("1-0", "j-1", """[0,2,"m-1",1,0,0]""")
+        round("1-1", "j-1", """[0,1,"m-1",1,0,0]""")
+        ledger.settleLoaded()
+        assertEquals(mapOf("j-1/0" to 2), on("m-1"))
+        assertEquals(1.0, ledger.used.getValue("crew").cpus)
+    }
+
+    @Test
+    fun `a gang that was claimed in part is given up, and its number is not used again`() {
+        live("j-1", 3, "ensemble")
+        round("1-0", "j-1", """[0,4,"m-1",1,0,0]""", """[1,4,"m-2",1,0,0]""")
+        ledger.settleLoaded()
+        val job = ledger.jobs.getValue("j-1")
+        assertEquals(Gangs.State.FREE, Gangs.state(job))
+        assertEquals(4, job.highestRun)
+        assertEquals(0.0, ledger.used.getValue("crew").cpus)
+    }
+
+    @Test
+    fun `a gang that was claimed whole may be anywhere, and one that has lost a task is to be stopped`() {
+        live("j-1", 2, "ensemble")
+        live("j-2", 2, "ensemble")
+        round("1-0", "j-1", """[0,1,"m-1",1,0,0]""", """[1,1,"m-2",1,0,0]""")
+        round("1-1", "j-2", """[0,1,"m-1",1,0,1]""", """[1,1,"m-2",1,0,0]""")
+        ledger.settleLoaded()
+        assertEquals(Gangs.State.GATHERING, Gangs.state(ledger.jobs.getValue("j-1")))
+        assertEquals(Gangs.State.OVER, Gangs.state(ledger.jobs.getValue("j-2")))
+        assertEquals(
+            0.0,
+            ledger.byMachine
+                .getValue("m-2")
+                .getValue("j-2/1")
+                .stopGraceS,
+        )
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -0,0 +1,221 @@
+package burlridge.sim
+
+import burlridge.sim.World.Fate
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Gangs in the whole service, in virtual time: what befalls one task at each of its phases befalls the attempt. */
+internal class GangTest {
+    private val world = World(21, guaranteed = 0.0)
+
+    private fun verdict(vararg jobs: String) {
+        assertEquals(emptyList<String>(), world.rules.broken, world.log.takeLast(40).joinToString("\n"))
+        assertEquals(
+            emptyList<String>(),
+            jobs.filterNot { world.rules.finished(it) },
+            "not over:\n" + world.log.takeLast(40).joinToString("\n"),
+        )
+    }
+
+    private fun begun(job: String): List<Int> =
+        world.hall.begun
+            .filter { it.first == job }
+            .map { it.second }
+
+    private fun at(
+        seconds: Double,
+        work: () -> Unit,
+    ) = world.clock.after(seconds, work)
+
+    /** The machines that run tasks of [job]. */
+    private fun machinesOf(
+        job: String,
+        tasks: Int,
+    ): List<String> = world.cloud.names().filter { name -> (0 until tasks).any { world.cloud.worker(name)?.has("$job/$it") == true } }
+
+    @Test
+    fun `a gang starts together, once, and completes together`() {
+        at(25.0) { world.submit(world.gang(1, 6)) }
+        world.run(80.0)
+        verdict("j-000001")
+        assertEquals(listOf(1), begun("j-000001"))
+        assertEquals(6, world.rules.starts)
+    }
+
+    @Test
+    fun `a gang that loses a machine while it runs goes on from its checkpoint under the next number`() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 30.0)) }
+        at(45.0) { world.cloud.worker(machinesOf("j-000001", 20).first())?.kill() }
+        world.run(140.0)
+        verdict("j-000001")
+        assertEquals(listOf(1, 2), begun("j-000001"))
+        assertTrue(world.hall.progress("j-000001") >= 10.0, "progress ${world.hall.progress("j-000001")}")
+    }
+
+    @Test
+    fun `a gang that loses a machine while it gathers is tried anew`() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0)) }
+        at(26.0) { world.cloud.worker(machinesOf("j-000001", 20).last())?.kill() }
+        world.run(140.0)
+        verdict("j-000001")
+        assertEquals(listOf(2), begun("j-000001"))
+    }
+
+    /** A command of unknown outcome: the others wait in vain, and the late start must not count for the next attempt. */
+    @Test
+    fun `a start held back until after the next attempt is void`() {
+        var met = 0
+        world.lateS = 60.0
+        world.meddle = { _, call -> if (call.path == "/do" && "run" in call.body.orEmpty() && met++ == 0) Fate.LATE else Fate.FINE }
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0)) }
+        world.run(200.0)
+        verdict("j-000001")
+        assertTrue(met > 0)
+        assertEquals(1, begun("j-000001").size)
+    }
+
+    /** Guards the whole plan for a gang: two that each fit alone must not hold halves of the room. */
+    @Test
+    fun `two gangs that fit alone but not together run one after the other`() {
+        val small = World(22, types = mapOf("small" to TypeSpec(4.0, 16.0, 3)), guaranteed = 0.0)
+        small.clock.after(30.0) {
+            small.submit(small.gang(1, 10))
+            small.submit(small.gang(2, 10))
+        }
+        small.run(120.0)
+        assertEquals(emptyList<String>(), small.rules.broken)
+        assertTrue(small.rules.finished("j-000001") && small.rules.finished("j-000002"))
+        assertEquals(2, small.hall.begun.size)
+    }
+
+    /** Guards the room that is kept for a gang that finds too little: single tasks would take each place as it falls free. */
+    @Test
+    fun `small work passing by does not starve a large gang`() {
+        val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
+        repeat(300) { i -> small.clock.after(20.0 + 0.7 * i) { small.submit(small.job(100 + i, 3, runS = 12.0, lane = "bulk")) } }
+        small.clock.after(40.0) { small.submit(small.gang(1, 16)) }
+        small.run(290.0)
+        assertEquals(emptyList<String>(), small.rules.broken)
+        assertTrue(small.rules.firstStart("j-000001") in 0.0..280.0, "began at ${small.rules.firstStart("j-000001")}")
+    }
+
+    /** Guards the claim of a gang in several rows: what the dead leader had claimed in part must not begin, nor block. */
+    @Test
+    fun `a leader dies between the rows of a gang`() {
+        val limits = """{"value_kb":0.5,"txn_ops":4,"write_rps":18}"""
+        for (rowsBefore in 0..3) {
+            val other = World(24 + rowsBefore, guaranteed = 0.0, next = limits, types = mapOf("big" to TypeSpec(16.0, 64.0, 3)))
+            var rows = 0
+            other.meddle = { from, call ->
+                if (call.path == "/multi" && "\"set\":\"round/" in call.body.orEmpty() && rows++ == rowsBefore) {
+                    other.clock.after(0.0) { other.crash(from, 1.0) }
+                }
+                Fate.FINE
+            }
+            other.clock.after(25.0) { other.submit(other.gang(1, 32)) }
+            other.run(140.0)
+            assertEquals(emptyList<String>(), other.rules.broken)
+            assertTrue(other.rules.finished("j-000001"), "after $rowsBefore rows:\n" + other.log.takeLast(30).joinToString("\n"))
+            assertTrue(rows >= 4, "only $rows rows")
+            assertEquals(1, other.hall.begun.size)
+        }
+    }
+
+    @Test
+    fun `a leader dies between the commands of a gang`() {
+        var commands = 0
+        world.meddle = { from, call ->
+            if (call.path == "/do" && "run" in call.body.orEmpty() && commands++ == 1) at(0.0) { world.crash(from, 1.0) }
+            Fate.FINE
+        }
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0)) }
+        world.run(140.0)
+        verdict("j-000001")
+        assertTrue(commands > 1)
+    }
+
+    @Test
+    fun `a gang is cancelled while it fetches, gathers, runs, and as it ends`() {
+        repeat(24) { i -> at(25.0 + 3 * i) { world.submit(world.gang(i, 6, runS = 4.0), abortAfter = 0.3 * i) } }
+        world.run(200.0)
+        verdict(*Array(24) { "j-%06d".format(it) })
+    }
+
+    @Test
+    fun `an outage of the state service longer than a gang waits`() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 50.0)) }
+        at(26.0) { world.cloud.worker(machinesOf("j-000001", 20).firstOrNull() ?: return@at)?.kill() }
+        at(26.2) { world.state.outage(world.gangWaitS + 5.0) }
+        world.run(220.0)
+        verdict("j-000001")
+    }
+
+    /** Guards the wait for every task of the old attempt: with one zone for all none may start elsewhere before. */
+    @Test
+    fun `a whole zone is cut off with the gangs in it, which go on in the other`() {
+        repeat(4) { i -> at(25.0 + i) { world.submit(world.gang(i, 8, runS = 60.0)) } }
+        at(45.0) {
+            val apart = world.cloud.names().filter { world.cloud.worker(it)?.zone == "b" }
+            apart.forEach { m -> world.members.forEach { world.cut(m, it, 50.0) } }
+        }
+        world.run(300.0)
+        verdict(*Array(4) { "j-%06d".format(it) })
+    }
+
+    @Test
+    fun `a machine cut off, one deaf and one back at once, each with part of a gang`() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 40.0)) }
+        at(35.0) { world.members.forEach { world.cut(machinesOf("j-000001", 20).first(), it, 40.0) } }
+        at(90.0) { world.submit(world.gang(2, 20, cpus = 2.0, runS = 30.0)) }
+        at(95.0) { machinesOf("j-000002", 20).firstOrNull()?.let { world.deafen(it, 60.0) } }
+        at(150.0) { world.submit(world.gang(3, 20, cpus = 2.0, runS = 30.0)) }
+        at(160.0) { machinesOf("j-000003", 20).firstOrNull()?.let { world.cloud.worker(it)?.restart() } }
+        world.run(330.0)
+        verdict("j-000001", "j-000002", "j-000003")
+    }
+
+    @Test
+    fun `late copies of reports of an attempt that is over change nothing`() {
+        world.copyAfter = { listOf(2.0, 9.0, 31.0, 70.0).random(world.random) }
+        repeat(6) { i -> at(25.0 + 10 * i) { world.submit(world.gang(i, 8, runS = 12.0)) } }
+        repeat(5) { i -> at(31.0 + 11 * i) { machinesOf("j-%06d".format(i), 8).firstOrNull()?.let { world.cloud.worker(it)?.restart() } } }
+        repeat(2) { i -> at(50.0 + 25 * i) { world.leader()?.let { world.crash(it, 1.0) } } }
+        world.run(280.0)
+        verdict(*Array(6) { "j-%06d".format(it) })
+    }
+
+    /** More luck on demand: `mvn test -Dluck=300`. */
+    @Test
+    fun `whatever fails, gangs keep the rules and end`() {
+        val days = System.getProperty("luck")?.toInt() ?: 12
+        for (seed in 1..days) {
+            val other = World(seed + 100, next = """{"value_kb":2,"txn_ops":4,"write_rps":30}""")
+            val jobs = other.mixedLoad(24)
+            Troubles(other, seed).draw(10, 20.0, 140.0)
+            other.run(420.0)
+            assertEquals(emptyList<String>(), other.rules.broken, "seed $seed\n" + other.log.takeLast(60).joinToString("\n"))
+            assertEquals(
+                emptyList<String>(),
+                jobs.filterNot { other.rules.finished(it) },
+                "seed $seed\n" + other.log.takeLast(60).joinToString("\n"),
+            )
+        }
+    }
+
+    private fun World.mixedLoad(jobs: Int): List<String> {
+        val names = ArrayList<String>()
+        repeat(jobs) { i ->
+            val spec =
+                when (i % 4) {
+                    0 -> gang(i, 3, runS = 12.0)
+                    1 -> gang(i, 8, runS = 20.0, team = "crew-x", spot = true)
+                    2 -> gang(i, 5, cpus = 2.0, runS = 15.0, oneZone = false)
+                    else -> job(i, 4, cpus = 2.0, team = "crew-x")
+                }
+            names += spec.id
+            clock.after(12 + i * 4.0) { submit(spec, abortAfter = if (i % 9 == 8) 12.0 else null) }
+        }
+        return names
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/Troubles.kt
@@ -0,0 +1,71 @@
+package burlridge.sim
+
+import kotlin.random.Random
+
+/** Troubles drawn by a seed, alone and together. */
+internal class Troubles(
+    private val world: World,
+    seed: Int,
+) {
+    private val luck = Random(seed)
+
+    fun draw(
+        count: Int,
+        from: Double,
+        until: Double,
+    ) {
+        world.lossy = 0.02
+        repeat(count) { world.clock.after(from + luck.nextDouble() * (until - from)) { one() } }
+        world.clock.after(until + 30.0) { world.lossy = 0.0 }
+    }
+
+    private fun one() {
+        when (luck.nextInt(9)) {
+            0 -> {
+                world.leader()?.let { world.crash(it, luck.nextDouble() * 8) }
+            }
+
+            1 -> {
+                world.members.forEach { world.crash(it, 1 + luck.nextDouble() * 5) }
+            }
+
+            2 -> {
+                world.state.outage(luck.nextDouble() * 25)
+            }
+
+            3 -> {
+                world.leader()?.let { world.cut(it, "state", 10 + luck.nextDouble() * 20) }
+            }
+
+            4 -> {
+                world.cloud
+                    .names()
+                    .take(3)
+                    .forEach { world.cloud.take(it) }
+            }
+
+            5 -> {
+                world.cloud
+                    .names()
+                    .takeLast(4)
+                    .forEach { m -> world.members.forEach { world.cut(it, m, 5 + luck.nextDouble() * 40) } }
+            }
+
+            6 -> {
+                world.cloud
+                    .names()
+                    .randomOrNull(luck)
+                    ?.let { world.deafen(it, luck.nextDouble() * 40) }
+            }
+
+            7 -> {
+                world.leader()?.let { world.freeze(it, luck.nextDouble() * 12) }
+            }
+
+            else -> {
+                world.cloud.down = true
+                world.clock.after(20.0) { world.cloud.down = false }
+            }
+        }
+    }
+}
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -12,12 +12,32 @@
     val spot: Boolean,
     val address: String,
 ) {
-    private class Task(
-        val piece: String,
+    private inner class Task(
+        override val piece: String,
         val run: Int,
         var standing: String,
         var cause: String? = null,
-    )
+        var kept: Boolean = false,
+    ) : GangHall.Seat {
+        val job: String get() = piece.substringBefore('/')
+        val onMachine: Boolean get() = standing == "running" || standing == "gathering" || standing == "saving"
+        override val slowness: Double get() = this@Worker.slowness
+
+        override fun becomes(standing: String) {
+            this.standing = standing
+            changed = true
+        }
+
+        override fun exits(
+            cause: String,
+            kept: Boolean,
+        ) {
+            if (!alive || tasks["$piece@$run"] !== this || standing == "exited") return
+            this.kept = kept
+            world.rules.ended(piece, this@Worker, cause == "done")
+            exit(this, cause)
+        }
+    }
 
     private var session = 1L
     private var tally = 0L
@@ -72,9 +92,12 @@
         task: Task,
         done: Boolean,
     ) {
-        if (task.standing == "running") world.rules.ended(task.piece, this, done)
+        if (task.onMachine) world.rules.ended(task.piece, this, done)
+        if (task.onMachine && isGang(task)) world.hall.leaves(task.job, task.run, task)
     }
 
+    private fun isGang(task: Task): Boolean = world.rules.spec(task.job)?.gang == true
+
     private fun report(): JsonNode =
         Json.obj {
             put("drover", id)
@@ -89,6 +112,7 @@
             tasks.values.forEach { t ->
                 list.addObject().put("piece", t.piece).put("try", t.run).put("standing", t.standing).also { o ->
                     t.cause?.let { o.put("cause", it) }
+                    if (t.kept) o.put("kept", true)
                 }
             }
         }
@@ -170,10 +194,7 @@
             }
 
             "halt" -> {
-                tasks[key]?.takeIf { it.standing != "exited" }?.let {
-                    leave(it, false)
-                    exit(it, "stopped")
-                }
+                tasks[key]?.takeIf { it.standing != "exited" }?.let { halt(it, order.path("windDownS").asDouble()) }
             }
 
             "reap" -> {
@@ -182,6 +203,18 @@
         }
     }
 
+    private fun halt(
+        task: Task,
+        graceS: Double,
+    ) {
+        val saveS = world.rules.spec(task.job)?.saveS ?: 0.0
+        val saves = isGang(task) && saveS > 0 && graceS >= saveS && world.hall.saves(task.job, task.run, task)
+        if (!saves) {
+            leave(task, false)
+            exit(task, "stopped")
+        }
+    }
+
     private fun exit(
         task: Task,
         cause: String,
@@ -220,6 +253,7 @@
     ) {
         if (!alive || tasks[key] !== task || task.standing != "fetching") return
         world.rules.started(task.piece, this)
+        if (isGang(task) && !world.rules.hasCompleted(task.piece)) return world.hall.enter(task.job, task.run, task)
         task.standing = "running"
         changed = true
         val need = if (world.rules.hasCompleted(task.piece)) 0.0 else runS * slowness
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -27,6 +27,9 @@
     val types: Map<String, TypeSpec> = mapOf("small" to TypeSpec(4.0, 16.0, 6), "big" to TypeSpec(16.0, 64.0, 3)),
     /** Guaranteed to the team that is guaranteed something; 0 for a deployment that guarantees nothing. */
     private val guaranteed: Double = 24.0,
+    /** Limits that the state service may have from some moment on. */
+    private val next: String? = null,
+    private val lanes: String = """{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}""",
 ) {
     val clock = Clock()
     val random = Random(seed)
@@ -34,6 +37,9 @@
     val leaseS = 24.0
     val cancelS = 54.0
     val zones = listOf("a", "b")
+    val gangWaitS = 30.0
+    val gangPeerS = 4.0
+    val hall = GangHall(this)
     val rules = Rules(clock, cancelS, mapOf("crew-x" to 48.0, "crew-y" to 0.0))
     val state = StateService(clock)
     val cloud = CloudService(this)
@@ -85,9 +91,11 @@
             "others":[${others.joinToString(",") { "{\"member\":\"$it\",\"zone\":\"a\",\"endpoint\":\"10.0.0.9:1\"}" }}],
             "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
             "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
-            "objectives":[{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}],
-            "workers":{"report_s":$reportS,"lease_s":$leaseS,"cancel_s":$cancelS},
-            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8},"cloud":{"rps":8,"list_lag_s":3}}}""",
+            "objectives":[$lanes],
+            "workers":{"report_s":$reportS,"lease_s":$leaseS,"gang_wait_s":$gangWaitS,"gang_peer_s":$gangPeerS,"cancel_s":$cancelS},
+            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8${next?.let {
+                ",\"next\":$it"
+            }.orEmpty()}},"cloud":{"rps":8,"list_lag_s":3}}}""",
         )
     }
 
@@ -344,6 +352,18 @@
             null,
         )
 
+    fun gang(
+        number: Int,
+        tasks: Int,
+        cpus: Double = 1.0,
+        runS: Double = 20.0,
+        team: String = "crew-y",
+        spot: Boolean = false,
+        oneZone: Boolean = true,
+    ): JobSpec =
+        job(number, tasks, cpus, runS, team, lane = "gang", spot = spot, oneZone = oneZone)
+            .copy(gang = true, checkpointS = 5.0, saveS = 2.0)
+
     /** Submits until accepted, then polls until the job is over, and sometimes after. */
     fun submit(
         spec: JobSpec,
