--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -208,7 +208,7 @@
                             } else {
                                 live.rows.forEach { ledger.admit(it.key.substringAfter('/'), it.value, it.stamp) }
                                 progress.rows.forEach { ledger.loadProgress(it) }
-                                rounds.rows.forEach { ledger.loadRound(it) }
+                                rounds.rows.forEach { ledger.claims.loadRound(it) }
                                 rentals.rows.forEach { fleet.load(it) }
                                 loadedAll(live.revision, term)
                             }
@@ -227,11 +227,11 @@
         workers.loaded = true
         intake.loaded = true
         // A machine known only from claims must be waited for like any other.
-        ledger.byMachine.keys
+        ledger.claims.byMachine.keys
             .toList()
             .forEach { workers.machine(it) }
         followAt = revision
-        ctx.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.byMachine.size} machines with claims")
+        ctx.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.claims.byMachine.size} machines with claims")
         follow(term)
         placeSoon()
     }
--- /dev/null
+++ b/src/main/kotlin/burlridge/fleet/Rentals.kt
@@ -0,0 +1,217 @@
+package burlridge.fleet
+
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.leadership.Leadership
+import burlridge.store.Condition
+import burlridge.store.Op
+import burlridge.store.Row
+import burlridge.store.Store
+import burlridge.store.Txn
+import burlridge.store.TxnResult
+import burlridge.store.Urgency
+import burlridge.worker.Workers
+
+/** One step of the fleet plan: so many machines of a type, zone and kind. */
+internal data class Offer(
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+)
+
+internal class Rental(
+    val step: String,
+    val offer: Offer,
+    val count: Int,
+) {
+    var stamp: Long = 0
+    var calledAt: Double = 0.0
+
+    /** Set once the cloud's answer is known, or its list has caught up with a call of unknown outcome. */
+    var settledAt: Double? = null
+    var expected: Int = count
+}
+
+/** Rentals, each claimed in a row before the cloud is called; what has an unknown outcome waits for the cloud's list. */
+internal class Rentals(
+    private val ctx: Context,
+    private val store: Store,
+    private val leadership: Leadership,
+    private val workers: Workers,
+) {
+    private var nextStep = 0L
+    private val rentals = LinkedHashMap<String, Rental>()
+    private val refusedUntil = HashMap<Offer, Double>()
+    private val refusals = HashMap<Offer, Int>()
+
+    /** Those on their way, or of unknown outcome. */
+    val open: Collection<Rental> get() = rentals.values
+
+    fun clear() {
+        rentals.clear()
+        refusedUntil.clear()
+        refusals.clear()
+        nextStep = 0
+    }
+
+    fun refused(offer: Offer): Boolean = ctx.now < (refusedUntil[offer] ?: 0.0)
+
+    /** What has been returned can be had again. */
+    fun returned(offer: Offer) {
+        refusedUntil.remove(offer)
+        refusals.remove(offer)
+    }
+
+    fun load(row: Row) {
+        val v = row.value
+        val rental =
+            Rental(
+                row.key.substringAfter('/'),
+                Offer(v.path("type").asText(), v.path("zone").asText(), v.path("spot").asBoolean()),
+                v.path("n").asInt(),
+            )
+        rental.stamp = row.stamp
+        // Called or not, by a leader that is gone: unknown, until the list must show what came of it.
+        rental.calledAt = ctx.now
+        rentals[rental.step] = rental
+    }
+
+    fun settle() {
+        for (rental in rentals.values.toList()) {
+            if (rental.settledAt == null && rental.calledAt > 0 &&
+                ctx.now > rental.calledAt + Fleet.CLOUD_TIMEOUT_S + ctx.settings.cloudLimits.listLagS * Fleet.OLDEST_LIST
+            ) {
+                ctx.info("rental ${rental.step}: outcome unknown, and the cloud's list has caught up")
+                rental.settledAt = ctx.now
+            }
+            val settled = rental.settledAt ?: continue
+            if (rental.stamp > 0 && ctx.now >= settled) forget(rental)
+        }
+    }
+
+    private fun forget(rental: Rental) {
+        rental.stamp = 0
+        store.ensure(
+            Txn(listOf(leadership.condition()), listOf(Op.Delete("rental/${rental.step}"))),
+            Urgency.CLEANUP,
+            { leadership.leading },
+        ) {
+            rentals.remove(rental.step)
+        }
+    }
+
+    fun rent(
+        offer: Offer,
+        count: Int,
+        reason: String,
+    ) {
+        val rental = Rental("${leadership.term}-${nextStep++}", offer, count.coerceAtMost(Fleet.MOST_PER_CALL))
+        rentals[rental.step] = rental
+        ctx.info("rental ${rental.step}: ${rental.count} of ${offer.type} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $reason")
+        val row =
+            Json.obj {
+                put("st", "claimed")
+                put("type", offer.type)
+                put("zone", offer.zone)
+                put("spot", offer.spot)
+                put("n", rental.count)
+                put("tok", leadership.term)
+            }
+        val mine = leadership.stillMine(leadership.term)
+        val txn = Txn(listOf(leadership.condition(), Condition("rental/${rental.step}", 0)), listOf(Op.Put("rental/${rental.step}", row)))
+        store.ensure(txn, Urgency.CLAIM, mine) { result ->
+            when {
+                result is TxnResult.Done -> {
+                    rental.stamp = result.revision
+                    order(rental, mine)
+                }
+
+                result is TxnResult.Conflict && Leadership.TERM in result.failed -> {
+                    leadership.stepDown("its term has been passed")
+                }
+
+                // An earlier copy of this very claim was applied.
+                result is TxnResult.Conflict -> {
+                    rental.stamp = 1
+                    order(rental, mine)
+                }
+
+                else -> {
+                    rentals.remove(rental.step)
+                }
+            }
+        }
+    }
+
+    private fun order(
+        rental: Rental,
+        mine: () -> Boolean,
+    ) {
+        rental.calledAt = ctx.now
+        val offer = rental.offer
+        val body =
+            Json.obj {
+                put("hire", "r-${rental.step}")
+                put("breed", offer.type)
+                put("yard", offer.zone)
+                put("loaners", offer.spot)
+                put("number", rental.count)
+            }
+        ctx.call(ctx.settings.cloud, "POST", "/rentals", Json.write(body), Fleet.CLOUD_TIMEOUT_S) { outcome ->
+            if (!mine()) return@call
+            val answer = outcome as? Outcome.Answered
+            val names = answer?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body)?.get("drovers") }?.takeIf { it.isArray }
+            when {
+                names != null -> {
+                    ctx.info("rental ${rental.step}: got ${names.size()} of ${rental.count}")
+                    names.forEach { name ->
+                        val machine = workers.machine(name.asText())
+                        if (!machine.up && !machine.listed) {
+                            machine.type = offer.type
+                            machine.zone = offer.zone
+                            machine.spot = offer.spot
+                            machine.starting = true
+                            machine.rentedAt = ctx.now
+                        }
+                    }
+                    refusals.remove(offer)
+                    if (names.size() < rental.count) refuse(offer)
+                    rental.settledAt = ctx.now
+                    rental.expected = 0
+                }
+
+                outcome is Outcome.NotSent || answer?.status in REFUSALS -> {
+                    ctx.info("rental ${rental.step}: refused: ${answer?.status ?: "no connection"} ${answer?.body.orEmpty()}")
+                    refuse(offer)
+                    rental.settledAt = ctx.now
+                    rental.expected = 0
+                }
+
+                else -> {
+                    ctx.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
+                }
+            }
+        }
+    }
+
+    private fun refuse(offer: Offer) {
+        // Several steps asked at once are refused for one and the same reason.
+        if (refused(offer)) return
+        val times = refusals.merge(offer, 1, Int::plus) ?: 1
+        refusedUntil[offer] = ctx.now + minOf(REFUSED_S * times, REFUSED_S * 4)
+    }
+
+    /** A few steps of one kind may be on their way at once, so that a large need is met within a few calls. */
+    fun isOpen(offer: Offer): Boolean = !refused(offer) && stepsOf(offer) < MOST_STEPS
+
+    fun stepsOf(offer: Offer): Int = rentals.values.count { it.offer == offer && it.expected > 0 }
+
+    internal companion object {
+        private val REFUSALS = setOf(400, 429, 503)
+        private const val REFUSED_S = 15.0
+
+        /** Steps of one kind on their way at once. */
+        const val MOST_STEPS = 4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/burlridge/fleet/Returns.kt
@@ -0,0 +1,144 @@
+package burlridge.fleet
+
+import burlridge.app.Context
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.intent.Ledger
+import burlridge.leadership.Leadership
+import burlridge.worker.Machine
+import burlridge.worker.Workers
+
+/** Machines that go back to the cloud: the failed, the overdue, the silent, the deaf and the idle. */
+internal class Returns(
+    private val ctx: Context,
+    private val leadership: Leadership,
+    private val ledger: Ledger,
+    private val workers: Workers,
+    private val rentals: Rentals,
+) {
+    private val idleS = ctx.settings.workers.reportS * ctx.settings.operator.idleReports
+
+    /** Machines that failed, or whose boot has taken far too long, go back. */
+    fun discard(types: Catalog) {
+        val heard = heardZones()
+        for (machine in workers.machines.values) {
+            val boot = types.types[machine.type]?.bootS ?: continue
+            // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
+            val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
+            if (machine.zone in heard && buried(machine)) {
+                ctx.info(
+                    "machine ${machine.id} is silent for ${(ctx.now - machine.silentSince).toInt()} s and cannot be reached; returning it to be certain",
+                )
+                machine.dead = true
+            }
+            val deafSince = machine.deafSince
+            if (machine.zone in heard && !machine.dead && deafSince != null && ctx.now > deafSince + ctx.settings.workers.leaseS / 2) {
+                ctx.info("machine ${machine.id} reports but has heard nothing for ${(ctx.now - deafSince).toInt()} s; returning it")
+                machine.dead = true
+            }
+            if (overdue && !machine.leaving) {
+                ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
+                machine.leaving = true
+            }
+        }
+        // Hundreds may be due at once, and each second counts for the tasks on them.
+        workers.machines.values
+            .filter { !it.returning && (it.dead || (it.leaving && ledger.claims.byMachine[it.id].isNullOrEmpty())) }
+            .chunked(MOST_PER_RETURN)
+            .take(MOST_RETURNS)
+            .forEach { giveBack(it) }
+    }
+
+    /**
+     * A machine that reported to this leader and fell silent is dead or cut off. Returning it settles which, well before its
+     * worker's lease would. Not where many are silent at once: then the fault is more likely ours or the network's.
+     */
+    private fun buried(machine: Machine): Boolean {
+        val wanted = machine.up || !ledger.claims.byMachine[machine.id].isNullOrEmpty()
+        if (!wanted || machine.dead || machine.lapsed || machine.starting || machine.refusals < TRIES_TO_BURY) return false
+        return workers.hears(machine.zone) && ctx.now > machine.silentSince + ctx.settings.workers.reportS * DEAD_REPORTS
+    }
+
+    /** The zones most of whose machines are heard from, so that the silence of one is its own. */
+    private fun heardZones(): Set<String> {
+        val up = workers.machines.values.filter { it.up && !it.lapsed }
+        return up
+            .groupBy { it.zone }
+            .filterValues { there ->
+                there.count { it.hears && ctx.now < it.lastReportAt + ctx.settings.workers.reportS * 2 } >= there.size * MOST_HEARD
+            }.keys
+    }
+
+    private fun giveBack(list: List<Machine>) {
+        if (list.isEmpty()) return
+        list.forEach {
+            it.returning = true
+            it.leaving = true
+        }
+        val body = Json.obj { putArray("drovers").also { names -> list.forEach { m -> names.add(m.id) } } }
+        val mine = leadership.stillMine(leadership.term)
+        ctx.info("returning ${list.joinToString { it.id }}")
+        ctx.call(ctx.settings.cloud, "POST", "/rentals/return", Json.write(body), Fleet.CLOUD_TIMEOUT_S * 2) { outcome ->
+            if (!mine()) return@call
+            if ((outcome as? Outcome.Answered)?.status == 200) {
+                list.forEach {
+                    workers.gone(it, "returned")
+                    rentals.returned(Offer(it.type, it.zone, it.spot))
+                }
+            } else {
+                list.forEach { m -> ctx.later(RETRY_S) { m.returning = false } }
+            }
+        }
+    }
+
+    /**
+     * How long a machine may be idle. The more machines, the less the work on them varies against its mean, and the sooner one
+     * that is idle will not be missed.
+     */
+    private fun patienceS(up: Int): Double = idleS * minOf(1.0, SMOOTH_MACHINES / Math.sqrt(up.coerceAtLeast(1).toDouble()))
+
+    fun returnIdle(
+        after: List<Slot>,
+        types: Catalog,
+    ) {
+        val up = workers.machines.values.filter { it.up && !it.leaving }
+        val patience = patienceS(up.size)
+        val idle =
+            up.filter { m ->
+                val dear = if (m.spot) 1.0 else Prices.DEAR_FACTOR
+                m.idleSince > 0 && ctx.now > m.idleSince + patience / dear && ledger.claims.byMachine[m.id].isNullOrEmpty()
+            }
+        if (idle.isEmpty()) return
+        // Only machines that the expected tasks leave wholly free are spare.
+        val spare =
+            after
+                .filter { s ->
+                    types.types[s.type]?.size == s.free
+                }.groupingBy { Offer(it.type, it.zone, it.spot) }
+                .eachCount()
+                .toMutableMap()
+        val back =
+            idle.sortedWith(compareBy({ it.spot }, { it.idleSince })).filter { m ->
+                val offer = Offer(m.type, m.zone, m.spot)
+                val left = spare[offer] ?: 0
+                if (left > 0) spare[offer] = left - 1
+                left > 0
+            }
+        giveBack(back.take(MOST_PER_RETURN))
+    }
+
+    private companion object {
+        const val RETRY_S = 2.0
+        const val MOST_PER_RETURN = 100
+
+        /** Calls for returns in one plan. */
+        const val MOST_RETURNS = 4
+        const val DEAD_REPORTS = 2.2
+        const val TRIES_TO_BURY = 2
+        const val MOST_HEARD = 0.5
+        const val OVERDUE_BOOTS = 3.0
+
+        /** The square root of the fleet from which on patience gets shorter. */
+        const val SMOOTH_MACHINES = 5.0
+    }
+}
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -33,6 +33,8 @@
 ) {
     /** Set once a new leader has read all rows. */
     var loaded: Boolean = false
+    private val rows = JobRows(store, ledger)
+    private val verdict = Verdict(ctx, store)
     private val decides: Boolean get() = loaded && leadership.standing
 
     // --- submit
@@ -131,7 +133,7 @@
         known(spec)?.let { return then(it) }
         val types =
             fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
-        val never = neverRuns(spec, types.allowed(spec).isEmpty())
+        val never = verdict.neverRuns(spec, types)
         if (never != null) return lookUpOr(spec.id, spec.fingerprint, Answer.error(422, never), then)
         create(spec, then)
     }
@@ -145,45 +147,6 @@
 
     private fun changed(id: String) = Answer.error(409, "$id has been submitted with another description")
 
-    private fun neverRuns(
-        spec: JobSpec,
-        fitsNothing: Boolean,
-    ): String? {
-        val team = ctx.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
-        if (team.cpusMax > 0 && spec.size.cpus > team.cpusMax) return "a task needs more CPUs than the limit of ${team.name}"
-        if (team.gpusMax > 0 && spec.size.gpus > team.gpusMax) return "a task needs more GPUs than the limit of ${team.name}"
-        if (fitsNothing) return "a task fits no allowed machine type"
-        if (!store.holds(liveRow(spec))) return "the description is longer than the state service takes"
-        return if (spec.gang) neverGathers(spec, team) else null
-    }
-
-    private fun neverGathers(
-        spec: JobSpec,
-        team: Team,
-    ): String? {
-        val all = spec.size * spec.tasks
-        val zones =
-            fleet.catalog
-                ?.allowed(spec)
-                .orEmpty()
-                .flatMap { it.zones }
-                .distinct()
-                .size
-        return when {
-            team.cpusMax > 0 && all.cpus > team.cpusMax -> "all tasks together need more CPUs than the limit of ${team.name}"
-            team.gpusMax > 0 && all.gpus > team.gpusMax -> "all tasks together need more GPUs than the limit of ${team.name}"
-            spec.spread && spec.tasks > 1 && (spec.oneZone || zones < 2) -> "its tasks can be in one zone only, and must be spread"
-            else -> null
-        }
-    }
-
-    private fun liveRow(spec: JobSpec): JsonNode =
-        Json.obj {
-            set<JsonNode>("job", spec.encode())
-            put("fp", spec.fingerprint)
-            put("at", ctx.wallMs)
-        }
-
     private fun refuseUnlessKnown(
         node: JsonNode?,
         refusal: Answer,
@@ -200,7 +163,7 @@
         refusal: Answer,
         then: (Answer) -> Unit,
     ) {
-        readRows(id) { found ->
+        rows.read(id) { found ->
             when {
                 found == null -> then(Answer.unavailable("the state service does not answer"))
                 found is Found.Nothing -> then(refusal)
@@ -214,7 +177,7 @@
         spec: JobSpec,
         then: (Answer) -> Unit,
     ) {
-        val row = liveRow(spec)
+        val row = verdict.liveRow(spec)
         val txn =
             Txn(
                 listOf(Condition("live/${spec.id}", 0), Condition("over/${spec.id}", 0)),
@@ -306,7 +269,7 @@
         id: String,
         then: (Answer) -> Unit,
     ) {
-        readRows(id) { found ->
+        rows.read(id) { found ->
             when (found) {
                 null -> then(Answer.unavailable("the state service does not answer"))
                 is Found.Nothing -> then(Answer.error(404, "no such job"))
@@ -316,63 +279,6 @@
         }
     }
 
-    private sealed interface Found {
-        val fingerprint: String?
-        val standing: Standing
-
-        data object Nothing : Found {
-            override val fingerprint: String? = null
-            override val standing: Standing = Standing.QUEUED
-        }
-
-        data class Live(
-            override val fingerprint: String,
-        ) : Found {
-            override val standing: Standing = Standing.QUEUED
-        }
-
-        data class Over(
-            val end: Ledger.End,
-        ) : Found {
-            override val fingerprint: String = end.fingerprint
-            override val standing: Standing = end.standing
-        }
-    }
-
-    /** The live row first: a job moves from there to its end, so one that is missed there is found here. Null when a read failed. */
-    private fun readRows(
-        id: String,
-        then: (Found?) -> Unit,
-    ) {
-        store.get("live/$id", Urgency.USER) { live ->
-            when (live) {
-                is Read.Found -> {
-                    then(
-                        Found.Live(
-                            live.value.value
-                                .path("fp")
-                                .asText(),
-                        ),
-                    )
-                }
-
-                Read.Failed -> {
-                    then(null)
-                }
-
-                Read.Absent -> {
-                    store.get("over/$id", Urgency.USER) { over ->
-                        when (over) {
-                            is Read.Found -> then(ledger.learnEnd(id, over.value.value)?.let { Found.Over(it) })
-                            Read.Absent -> then(Found.Nothing)
-                            Read.Failed -> then(null)
-                        }
-                    }
-                }
-            }
-        }
-    }
-
     // --- abort
 
     fun abort(
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -24,23 +24,9 @@
 ) {
     val jobs: LinkedHashMap<String, Job> = LinkedHashMap()
 
-    /** Active claims by machine. */
-    val byMachine: HashMap<String, LinkedHashMap<String, Claim>> = HashMap()
-    val used: HashMap<String, Size> = HashMap()
-
-    /** What the claims on each machine take. */
-    private val usedOn = HashMap<String, Size>()
-    private val rounds = LinkedHashMap<String, Round>()
-
-    /** Rows whose round is settled: claimed anew by the next rounds, which saves their removal. */
-    private val spare = ArrayDeque<Round>()
-    private var nextRound = 0L
-
-    /** Rounds whose row's outcome is open; more are not begun while the state service is behind. */
-    var claiming: Int = 0
-        private set
     private var flushing = 0
     private var lastCleanAt = 0.0
+    val claims: Claims = Claims(ctx, store, leadership, jobs)
     private val progress = Progress(ctx.settings.store.valueBytes)
 
     /** Progress rows of jobs that are over, still to be removed. */
@@ -67,29 +53,20 @@
 
     fun clear() {
         jobs.clear()
-        byMachine.clear()
-        used.clear()
-        usedOn.clear()
-        rounds.clear()
-        spare.clear()
-        nextRound = 0
-        claiming = 0
+        claims.clear()
         flushing = 0
         leftovers.clear()
     }
 
-    fun usedOn(machine: String): Size = usedOn[machine] ?: Size.NONE
-
-    /** Starts and jobs that one row and its transaction's conditions hold; fewer once a row has turned out too large. */
-    var mostStarts: Int = (ctx.settings.store.valueBytes / BYTES_A_START).coerceAtLeast(1)
-        private set
-    var mostJobs: Int =
-        minOf(ctx.settings.store.txnOps * Store.CONDITIONS_AN_OP - 2, ctx.settings.store.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
-        private set
+    fun fence(): Condition = leadership.condition()
 
-    fun fence(): Condition = Condition(Leadership.TERM, leadership.fence)
+    private fun stillMine(term: Long): () -> Boolean = leadership.stillMine(term)
 
-    private fun stillMine(term: Long): () -> Boolean = { leadership.leading && leadership.term == term }
+    /** All rows are in. */
+    fun settleLoaded() {
+        claims.settleLoaded()
+        jobs.values.toList().forEach { if (it.complete) finish(it, Standing.DONE) }
+    }
 
     // --- jobs
 
@@ -203,297 +180,20 @@
         // What was claimed and has not left will not be started any more.
         job.claims.values
             .filter { it.phase == Phase.CLAIMED }
-            .forEach { release(it, lost = true) }
+            .forEach { claims.release(it, lost = true) }
         ctx.info("job ${job.spec.id} is ${standing.wire} after ${(ctx.wallMs - job.submittedMs) / 1000} s")
         job.whenOver.forEach { it(standing) }
         job.whenOver.clear()
     }
 
-    // --- claims
-
-    /**
-     * Reserves [claims] and writes their row; [then] is told which may now be sent. Those of a gang may once all of its attempt are
-     * durable, in however many rows.
-     */
-    fun claim(
-        claims: List<Claim>,
-        then: (List<Claim>) -> Unit,
-    ) {
-        val number = "${leadership.term}-${nextRound++}"
-        val before = spare.removeLastOrNull()
-        val round = Round(before?.slot ?: number, number, claims)
-        rounds[round.slot] = round
-        claims.forEach {
-            it.round = round
-            it.claimedAt = ctx.now
-            hold(it)
-        }
-        val conditions = claims.map { it.job }.distinct().mapNotNull { id -> jobs[id]?.let { Condition("live/$id", it.stamp) } }
-        val key = "round/${round.slot}"
-        val txn =
-            Txn(
-                listOf(fence(), Condition(key, before?.stamp ?: 0)) + conditions,
-                listOf(Op.Put(key, encode(round, leadership.term, claimedUntilMs()))),
-            )
-        round.writing = true
-        claiming++
-        ctx.count("intent.rows")
-        ctx.count("intent.starts", claims.size)
-        store.ensure(txn, Urgency.CLAIM, stillMine(leadership.term)) { result -> claimed(round, before, result, then) }
-    }
-
-    private fun claimed(
-        round: Round,
-        before: Round?,
-        result: TxnResult,
-        then: (List<Claim>) -> Unit,
-    ) {
-        when (result) {
-            is TxnResult.Done -> {
-                round.stamp = result.revision
-                round.writing = false
-                claiming--
-                then(granted(round))
-            }
-
-            is TxnResult.Conflict -> {
-                when {
-                    Leadership.TERM in result.failed -> {
-                        leadership.stepDown("its term has been passed")
-                    }
-
-                    // An earlier copy of this very transaction was applied: only we write this key.
-                    "round/${round.slot}" in result.failed -> {
-                        readRound(round, before, then)
-                    }
-
-                    // A job in it is over, so nothing was claimed.
-                    else -> {
-                        drop(round, before)
-                    }
-                }
-            }
-
-            else -> {
-                if (result is TxnResult.TooLarge) {
-                    mostStarts = (mostStarts / 2).coerceAtLeast(1)
-                    mostJobs = (mostJobs / 2).coerceAtLeast(1)
-                }
-                drop(round, before)
-            }
-        }
-    }
-
-    private fun granted(round: Round): List<Claim> {
-        round.claims.forEach { it.durable = true }
-        // Of a job that has ended while the row was being written nothing is started any more.
-        round.claims.filter { it.job !in jobs }.forEach { release(it, lost = true) }
-        val gangs = round.claims.mapNotNull { c -> jobs[c.job]?.takeIf { it.spec.gang } }.distinct()
-        val alone = round.claims.filter { it.phase == Phase.CLAIMING && jobs[it.job]?.spec?.gang != true }
-        val whole =
-            gangs.flatMap { job ->
-                val all = job.claims.values
-                if (!all.all { it.durable }) {
-                    emptyList()
-                } else if (all.size == job.spec.tasks) {
-                    all.toList()
-                } else {
-                    // One of them was lost while the row was being written.
-                    breakAttempt(job)
-                    emptyList()
-                }
-            }
-        return (alone + whole).filter { it.phase == Phase.CLAIMING }.onEach { it.phase = Phase.CLAIMED }
-    }
-
-    /** A task of a gang's attempt is gone, so the attempt is over. */
-    fun breakAttempt(job: Job) {
-        if (job.breaking) return
-        job.breaking = true
-        Gangs.broken(job).forEach { release(it, lost = true) }
-        job.breaking = false
-    }
-
-    private fun readRound(
-        round: Round,
-        before: Round?,
-        then: (List<Claim>) -> Unit,
-    ) {
-        val term = leadership.term
-        store.get("round/${round.slot}", Urgency.CLAIM) { read ->
-            if (!stillMine(term)()) return@get
-            val row = (read as? burlridge.store.Read.Found)?.value
-            when {
-                row != null && row.value.path("n").asText() == round.number -> {
-                    claimed(round, before, TxnResult.Done(row.stamp), then)
-                }
-
-                read is burlridge.store.Read.Failed -> {
-                    ctx.later(1.0) { if (stillMine(term)()) readRound(round, before, then) }
-                }
-
-                else -> {
-                    drop(round, null)
-                }
-            }
-        }
-    }
-
-    /** Nothing was claimed; the row is what it was [before]. */
-    private fun drop(
-        round: Round,
-        before: Round?,
-    ) {
-        claiming--
-        rounds.remove(round.slot)
-        before?.let {
-            rounds[it.slot] = it
-            spare.addLast(it)
-        }
-        round.claims.forEach { release(it, lost = true) }
-    }
-
-    private fun hold(claim: Claim) {
-        jobs[claim.job]?.let { job ->
-            job.claims.put(claim.task, claim)
-            job.taken.set(claim.task)
-            job.note(claim)
-        }
-        byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
-        used.merge(claim.charge.team, claim.charge.size, Size::plus)
-        usedOn.merge(claim.machine, claim.charge.size, Size::plus)
-    }
-
-    /** The claim's task is known to be gone from its machine, and no start of it can come any more. */
-    fun release(
-        claim: Claim,
-        lost: Boolean,
-    ) {
-        if (claim.ended) return
-        claim.phase = Phase.ENDED
-        claim.lost = lost
-        if (lost) claim.round?.stale = true
-        byMachine[claim.machine]?.let { if (it[claim.piece] === claim) it.remove(claim.piece) }
-        jobs[claim.job]?.let { job ->
-            if (job.claims.get(claim.task) === claim) {
-                job.claims.remove(claim.task)
-                if (!job.done.get(claim.task)) job.taken.clear(claim.task)
-            }
-            if (lost && job.spec.gang && claim.run == job.highestRun) breakAttempt(job)
-        }
-        used.merge(claim.charge.team, claim.charge.size, Size::minus)
-        usedOn.merge(claim.machine, claim.charge.size, Size::minus)
-    }
-
-    private fun claimedUntilMs(): Long = ctx.wallMs + (ctx.settings.workers.leaseS * MS_A_S).toLong()
-
-    fun loadRound(row: Row) {
-        val round = decode(row)
-        round.claims.forEach { it.claimedAt = ctx.now }
-        round.stamp = row.stamp
-        rounds[round.slot] = round
-        round.claims.forEach { claim ->
-            claim.round = round
-            claim.durable = true
-            if (claim.lost) {
-                claim.phase = Phase.ENDED
-                jobs[claim.job]?.note(claim)
-            } else {
-                hold(claim)
-            }
-        }
-    }
-
-    /** After all rows are in: of two claims of one task only the later can be open. */
-    fun settleLoaded() {
-        for (round in rounds.values) {
-            for (claim in round.claims) {
-                if (claim.ended) continue
-                val job = jobs[claim.job] ?: continue
-                val last = job.lastRun.get(claim.task)
-                when {
-                    claim.run < last -> release(claim, lost = true)
-                    job.durable.get(claim.task) -> release(claim, lost = false)
-                }
-            }
-        }
-        for (round in rounds.values) {
-            round.claims.filter { !it.ended }.forEach { claim ->
-                jobs[claim.job]?.let {
-                    it.claims.put(claim.task, claim)
-                    it.taken.set(claim.task)
-                }
-                // Rows come in no order of time: where an earlier run on the same machine was read last, it stood in this one's place.
-                byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
-            }
-        }
-        settleGangs()
-        jobs.values.toList().forEach { if (it.complete) finish(it, Standing.DONE) }
-    }
-
-    /** An attempt that was claimed in part never began; one that has lost a task is over. */
-    private fun settleGangs() {
-        val claims = HashMap<Job, ArrayList<Claim>>()
-        for (round in rounds.values) {
-            for (claim in round.claims) {
-                val job = jobs[claim.job]?.takeIf { it.spec.gang && claim.run == it.highestRun } ?: continue
-                claims.getOrPut(job) { ArrayList() } += claim
-            }
-        }
-        for ((job, latest) in claims) {
-            // Nothing of an attempt is claimed before all of the one before is known to be gone.
-            job.claims.values
-                .filter { it.run < job.highestRun }
-                .forEach { release(it, lost = true) }
-            if (Gangs.claimedInPart(job, latest)) {
-                job.breaking = true
-                latest.filter { !it.ended }.forEach { release(it, lost = true) }
-                job.breaking = false
-            } else if (latest.any { it.ended }) {
-                breakAttempt(job)
-            }
-        }
-    }
-
     // --- lazy writes
 
     fun tick() {
         if (ctx.now - lastCleanAt < CLEAN_S) return
         lastCleanAt = ctx.now
         jobs.values.forEach { flush(it) }
-        for (round in rounds.values) {
-            if (round.stamp > 0 && !round.writing && round.settledAt == null && round.claims.all(::settled)) {
-                round.settledAt = ctx.now
-                spare.addLast(round)
-            }
-        }
         if (leftovers.isNotEmpty()) removeLeftovers()
-        val unused = spare.takeWhile { ctx.now > (it.settledAt ?: ctx.now) + ctx.settings.workers.reportS }.take(ctx.settings.store.txnOps)
-        if (unused.isNotEmpty()) remove(unused)
-        rounds.values
-            .filter { it.stale && it.stamp > 0 && !it.writing && it.settledAt == null }
-            .take(2)
-            .forEach { rewrite(it) }
-    }
-
-    /** Nothing of this claim needs remembering: its task's end is durable, or a later run has been claimed. */
-    private fun settled(claim: Claim): Boolean {
-        if (!claim.ended) return false
-        val job = jobs[claim.job] ?: return true
-        if (job.durable.get(claim.task)) return true
-        val newer = job.claims.get(claim.task) ?: return false
-        return newer.run > claim.run && newer.phase != Phase.CLAIMING
-    }
-
-    private fun remove(list: List<Round>) {
-        list.forEach {
-            it.writing = true
-            spare.remove(it)
-        }
-        val txn = Txn(listOf(fence()), list.map { Op.Delete("round/${it.slot}") })
-        store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
-            if (result is TxnResult.Done) list.forEach { rounds.remove(it.slot) } else leadership.stepDown("its term has been passed")
-        }
+        claims.clean()
     }
 
     private fun removeLeftovers() {
@@ -504,44 +204,6 @@
         }
     }
 
-    /**
-     * Marks in its row which starts of [round] are lost, and leaves out what needs no remembering. A row from before the limits
-     * were lowered may be too large for that still: then its marks are not written, and a new leader waits for the reports.
-     */
-    private fun rewrite(round: Round) {
-        round.stale = false
-        val row = encode(round, leadership.term, claimedUntilMs(), round.claims.filter { jobs[it.job]?.spec?.gang == true || !settled(it) })
-        if (!store.holds(row)) {
-            ctx.debug("row round/${round.slot} is left as it is: it was written under larger limits")
-            return
-        }
-        round.writing = true
-        val txn = Txn(listOf(fence(), Condition("round/${round.slot}", round.stamp)), listOf(Op.Put("round/${round.slot}", row)))
-        store.ensure(txn, Urgency.CLEANUP, stillMine(leadership.term)) { result ->
-            round.writing = false
-            when (result) {
-                is TxnResult.Done -> {
-                    round.stamp = result.revision
-                }
-
-                is TxnResult.Conflict -> {
-                    if (Leadership.TERM in result.failed) {
-                        leadership.stepDown("its term has been passed")
-                    } else {
-                        store.get("round/${round.slot}", Urgency.CLEANUP) { read ->
-                            (read as? burlridge.store.Read.Found)?.let { round.stamp = it.value.stamp }
-                            round.stale = true
-                        }
-                    }
-                }
-
-                else -> {
-                    round.stale = true
-                }
-            }
-        }
-    }
-
     /**
      * An end that is not durable yet is kept by its worker, unreaped, and a task started again there or elsewhere would end at
      * once: so progress is written late, and for a job that is over before then not at all.
@@ -574,10 +236,5 @@
         private const val ENDS_KEPT = 20_000L
         private const val CLEAN_S = 1.0
         private const val MOST_FLUSHES = 4
-        private const val MS_A_S = 1000
-
-        /** What a start and a job's charge take of a row, with room to spare. */
-        private const val BYTES_A_START = 54
-        private const val BYTES_A_JOB = 250
     }
 }
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -75,6 +75,12 @@
         get() = if (silentPeers.containsAll(former)) maxOf(silentSince, electedAt) else electedAt + answerBoundS
     private var silentSince = 0.0
 
+    /** What fences every write of this leader. */
+    fun condition(): Condition = Condition(TERM, fence)
+
+    /** Whether this member still leads [term]. */
+    fun stillMine(term: Long): () -> Boolean = { leading && this.term == term }
+
     fun tick() {
         if (leading) {
             if (!renewing && ctx.now >= nextRenewAt) renew()
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -35,10 +35,10 @@
 
     /** One round: as many waiting tasks as there is room for and one row holds. */
     fun round() {
-        if (ledger.claiming >= MOST_OPEN_ROUNDS) return
+        if (ledger.claims.claiming >= MOST_OPEN_ROUNDS) return
         val queue = queue()
         if (queue.isEmpty()) return
-        val draft = Draft(pools(), HashMap(ledger.used))
+        val draft = Draft(pools(), HashMap(ledger.claims.used))
         ctx.count("placement.rounds")
         if (draft.pools.isEmpty()) return
         val (early, others) = queue.partition { gangs.isEarly(it) }
@@ -55,14 +55,14 @@
         if (draft.claims.isEmpty()) return
         ctx.debug("claims ${draft.claims.size} starts of ${draft.jobs.size} jobs")
         // Only a gang is claimed beyond what one row holds: it begins once all its rows are written.
-        draft.claims.chunked(ledger.mostStarts).forEach { claims ->
-            ledger.claim(claims) { granted ->
+        draft.claims.chunked(ledger.claims.mostStarts).forEach { claims ->
+            ledger.claims.claim(claims) { granted ->
                 granted.map { it.machine }.distinct().forEach { id -> workers.machines[id]?.let(workers::command) }
             }
         }
     }
 
-    private fun full(draft: Draft): Boolean = draft.claims.size >= ledger.mostStarts || draft.jobs.size >= ledger.mostJobs
+    private fun full(draft: Draft): Boolean = draft.claims.size >= ledger.claims.mostStarts || draft.jobs.size >= ledger.claims.mostJobs
 
     /** The smallest machines first: a task that fits one should not break up a larger one. */
     private fun pools(): List<Pool> {
@@ -87,7 +87,7 @@
         machine: Machine,
         whole: Size,
     ): Size {
-        var free = whole - ledger.usedOn(machine.id)
+        var free = whole - ledger.claims.usedOn(machine.id)
         machine.strays.forEach { piece -> ledger.jobs[piece.substringBefore('/')]?.let { free -= it.spec.size } }
         return free
     }
@@ -144,7 +144,7 @@
 
     private fun load(team: String): Double {
         val share = ctx.settings.teams[team] ?: return 0.0
-        val used = ledger.used[team] ?: return 0.0
+        val used = ledger.claims.used[team] ?: return 0.0
         return maxOf(if (share.cpus > 0) used.cpus / share.cpus else 0.0, if (share.gpus > 0) used.gpus / share.gpus else 0.0)
     }
 
@@ -169,7 +169,7 @@
             ctx.count("placement.candidates", group.sumOf { it.rooms.size })
             task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, draft)
         }
-        val stopped = draft.claims.size >= ledger.mostStarts || fit.overLimit(spec.team, draft.used(spec.team) + spec.size)
+        val stopped = draft.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, draft.used(spec.team) + spec.size)
         if (task >= 0 && !stopped && !spec.oneZone && !spec.spread) draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
     }
 
@@ -195,7 +195,7 @@
         // Where idle machines are returned, those in use go first, so that others fall idle.
         val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
         val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
-        while (task >= 0 && draft.claims.size < ledger.mostStarts) {
+        while (task >= 0 && draft.claims.size < ledger.claims.mostStarts) {
             val after = draft.used(spec.team) + spec.size
             if (fit.overLimit(spec.team, after)) break
             val room = fit.sample(shared, spec, zones) ?: fit.sample(empty, spec, zones) ?: break
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/Leaving.kt
@@ -0,0 +1,91 @@
+package burlridge.worker
+
+import burlridge.app.Context
+import burlridge.intent.Gangs
+import burlridge.intent.Job
+import burlridge.intent.Ledger
+import burlridge.intent.Phase
+
+/** Tasks are taken off machines that are slow or that the cloud takes back. */
+internal class Leaving(
+    private val ctx: Context,
+    private val ledger: Ledger,
+    private val workers: Workers,
+) {
+    private val slowness = Slowness(ledger)
+    private var slowAt = 0.0
+
+    /**
+     * A machine whose tasks take much longer than others of the same jobs is given up: what runs there starts again elsewhere
+     * sooner than it would end. Not where many seem slow at once: then it is our measure that is wrong.
+     */
+    fun leaveSlow(machines: Collection<Machine>) {
+        if (ctx.now < slowAt) return
+        slowAt = ctx.now + ctx.settings.workers.reportS / 2
+        val up = machines.filter { it.up && !it.lapsed && !it.leaving && !workers.silent(it) }
+        val slow = up.filter { slowness.isSlow(it) }
+        if (slow.size > up.size * MOST_SLOW) return
+        for (machine in slow) {
+            ctx.info(
+                "machine ${machine.id} is slow: its tasks take over ${Slowness.SLOW} times as long as others of their jobs; leaving it",
+            )
+            machine.leaving = true
+            slowness.running(machine).forEach { claim ->
+                val job = ledger.jobs[claim.job] ?: return@forEach
+                val spec = job.spec
+                when {
+                    spec.gang -> stopGang(job, "machine ${machine.id} is slow", mustSave = false)
+                    claim.stopGraceS == null -> claim.stopGraceS = if (spec.checkpointS > 0) spec.saveS * Gangs.GRACE else 0.0
+                }
+            }
+        }
+    }
+
+    /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
+    fun drain(machine: Machine) {
+        val gangs = LinkedHashSet<Job>()
+        for (claim in ledger.claims.byMachine[machine.id]
+            ?.values
+            .orEmpty()) {
+            val job = ledger.jobs[claim.job] ?: continue
+            val spec = job.spec
+            if (spec.gang) {
+                gangs += job
+                continue
+            }
+            if (claim.phase == Phase.RUNNING && spec.checkpointS > 0 && claim.stopGraceS == null) {
+                claim.stopGraceS = spec.saveS * Gangs.GRACE
+                ctx.info("task ${claim.piece} is stopped on ${machine.id}: the cloud takes the machine back")
+            }
+        }
+        gangs.forEach { stopGang(it, "the cloud takes ${machine.id} back", mustSave = true) }
+    }
+
+    /**
+     * Stops a gang in order: every task is told at once, since the save fails unless all hear of it within a short time. One that
+     * cannot be told, or cannot save where it [mustSave], is left to run: it may yet end before its machine does.
+     */
+    private fun stopGang(
+        job: Job,
+        reason: String,
+        mustSave: Boolean,
+    ) {
+        val state = Gangs.state(job)
+        if (state != Gangs.State.RUNNING && state != Gangs.State.GATHERING) return
+        val on =
+            job.claims.values
+                .mapNotNull { workers.machines[it.machine] }
+                .distinct()
+        if (state == Gangs.State.RUNNING) {
+            if (mustSave && job.spec.checkpointS <= 0) return
+            if (!on.all { it.up && it.hears && !it.lapsed && it.refusals == 0 && !workers.silent(it) && workers.reaches(it) }) return
+        }
+        ctx.info("gang ${job.spec.id} run ${job.highestRun} is stopped: $reason")
+        Gangs.stop(job).filter { it.phase == Phase.CLAIMED }.forEach { workers.lose(it, reason) }
+        on.forEach { workers.command(it) }
+    }
+
+    private companion object {
+        const val MOST_SLOW = 0.25
+    }
+}
--- a/src/main/kotlin/burlridge/worker/Slowness.kt
+++ b/src/main/kotlin/burlridge/worker/Slowness.kt
@@ -9,7 +9,7 @@
     private val ledger: Ledger,
 ) {
     fun running(machine: Machine): List<Claim> =
-        ledger.byMachine[machine.id]
+        ledger.claims.byMachine[machine.id]
             ?.values
             ?.filter { it.phase == Phase.RUNNING }
             .orEmpty()
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -25,7 +25,7 @@
     private val ledger: Ledger,
     private val peers: Peers,
     private val onChange: () -> Unit,
-) {
+) : Commands.Events {
     /** What a type of machine caches; set once the types are known. */
     var cacheOf: (String) -> Double = { 0.0 }
 
@@ -34,7 +34,9 @@
     private var tokens = 0L
     var loaded: Boolean = false
     private val reach = Reach(ctx)
-    private val slowness = Slowness(ledger)
+    private val words = Orders(ledger) { nextToken() }
+    private val commands = Commands(ctx, leadership, ledger, peers, reach, words, this)
+    private val leaving = Leaving(ctx, ledger, this)
 
     fun reaches(machine: Machine): Boolean = machine.via != null || !reach.isLeft(machine.zone)
 
@@ -45,8 +47,6 @@
     /** How many machines run each task without a claim of ours; until it is halted such a task blocks any other start of it. */
     private val strayCount = Object2IntOpenHashMap<String>()
     private var sweepAt = 0.0
-    private var probeAt = 0.0
-    private var slowAt = 0.0
 
     /** Returned machines: their workers are gone, and a late report must not bring them back. */
     private val returned = HashSet<String>()
@@ -77,7 +77,7 @@
         machine.strays = strays
     }
 
-    private fun nextToken(): Long = (leadership.term shl TERM_SHIFT) + ++tokens
+    override fun nextToken(): Long = (leadership.term shl TERM_SHIFT) + ++tokens
 
     fun machine(id: String): Machine =
         machines.getOrPut(id) {
@@ -118,8 +118,8 @@
         val orders = Json.arr()
         if (fresh && loaded) {
             reconcile(machine)
-            halts(machine, orders)
-            reaps(machine, orders)
+            words.halts(machine, orders)
+            words.reaps(machine, orders)
             onChange()
         }
         val answer =
@@ -158,7 +158,7 @@
 
     fun reconcile(machine: Machine) {
         val claims =
-            ledger.byMachine[machine.id]
+            ledger.claims.byMachine[machine.id]
                 ?.values
                 ?.toList()
                 .orEmpty()
@@ -177,11 +177,14 @@
         setStrays(
             machine,
             machine.reported.values
-                .filter { !it.exited && ledger.byMachine[machine.id]?.get(it.piece)?.run != it.run }
-                .mapTo(HashSet()) { it.piece },
+                .filter {
+                    !it.exited && ledger.claims.byMachine[machine.id]
+                        ?.get(it.piece)
+                        ?.run != it.run
+                }.mapTo(HashSet()) { it.piece },
         )
-        if (machine.idleSince > 0 && !ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
-        if (machine.idleSince == 0.0 && ledger.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
+        if (machine.idleSince > 0 && !ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
+        if (machine.idleSince == 0.0 && ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
     }
 
     /**
@@ -248,7 +251,7 @@
         report: Reported,
     ) {
         val job = ledger.jobs[claim.job]
-        ledger.release(claim, lost = report.cause != "done")
+        ledger.claims.release(claim, lost = report.cause != "done")
         if (job == null) return
         when (report.cause) {
             "done" -> {
@@ -291,13 +294,13 @@
         }
     }
 
-    private fun lose(
+    override fun lose(
         claim: Claim,
         reason: String,
     ) {
         // Of a job that is over nothing is lost: a new leader only learns so late that its tasks are.
         if (ledger.jobs.containsKey(claim.job)) ctx.info("task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
-        ledger.release(claim, lost = true)
+        ledger.claims.release(claim, lost = true)
         onChange()
     }
 
@@ -306,7 +309,7 @@
         reason: String,
         below: Long = Long.MAX_VALUE,
     ) {
-        ledger.byMachine[machine.id]
+        ledger.claims.byMachine[machine.id]
             ?.values
             ?.toList()
             .orEmpty()
@@ -314,258 +317,43 @@
             .forEach { lose(it, reason) }
     }
 
-    // --- commands
-
-    private fun order(
-        verb: String,
-        piece: String,
-        run: Int,
-        graceS: Double? = null,
-    ): JsonNode =
-        Json.obj {
-            put("verb", verb)
-            put("piece", piece)
-            put("try", run)
-            graceS?.let { put("windDownS", it) }
-        }
+    override fun knows(machine: Machine): Boolean = machines[machine.id] === machine
 
-    /** Every task that has no business on [machine] any more is halted, and again until it is gone. */
-    private fun halts(
+    override fun heard(
         machine: Machine,
-        orders: ArrayNode,
+        report: JsonNode,
     ) {
-        for (report in machine.reported.values) {
-            if (report.exited) continue
-            val claim = ledger.byMachine[machine.id]?.get(report.piece)?.takeIf { it.run == report.run }
-            val job = report.piece.substringBefore('/')
-            when {
-                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == Standing.WITHDRAWN -> {
-                    orders.add(order("halt", report.piece, report.run, 0.0))
-                }
-
-                // The tasks of a gang that saves are all told at the same time, by commands.
-                claim.stopGraceS != null && report.standing != "saving" && !(savesAsGang(claim)) -> {
-                    orders.add(order("halt", report.piece, report.run, claim.stopGraceS))
-                }
-            }
-        }
+        if (take(machine, report) && loaded) reconcile(machine)
     }
 
-    /** An exited task is forgotten once its end is durable, and only while no start of it can still be on its way. */
-    private fun reaps(
-        machine: Machine,
-        orders: ArrayNode,
-    ) {
-        if (machine.commanding || machine.echoed <= machine.openToken) return
-        for (report in machine.reported.values) {
-            if (!report.exited) continue
-            val name = report.piece.substringBefore('/')
-            val task = report.piece.substringAfter('/').toIntOrNull() ?: continue
-            val job = ledger.jobs[name]
-            if (job != null && report.cause == "done" && !job.durable.get(task)) {
-                ledger.markDone(job, task)
-                continue
-            }
-            val claim = ledger.byMachine[machine.id]?.get(report.piece)
-            if (claim != null && claim.run == report.run) continue
-            // A repeat of the start may still come, and after the reap it would count as new. One that is done ends at once
-            // again; any other must first be void, for it may run elsewhere by then, or be cancelled.
-            val harmless = report.cause == "done" && (job != null || ledger.end(name)?.standing == Standing.DONE)
-            if (!harmless && machine.echoed <= machine.runToken) {
-                if (machine.token <= machine.runToken) machine.token = nextToken()
-                continue
-            }
-            orders.add(order("reap", report.piece, report.run))
-        }
-    }
+    override fun changed() = onChange()
 
     /** Sends what is due to [machine] straight away. */
-    fun command(machine: Machine) {
-        val address = machine.address ?: return
-        if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
-        if (!leadership.standing) return
-        val claims = ledger.byMachine[machine.id]?.values
-        if (claims.isNullOrEmpty()) return
-        val orders = Json.arr()
-        val starts = if (machine.hears) claims.filter { startable(it, machine) } else emptyList()
-        val stops = claims.filter { wantsStop(it) }
-        val fencing = machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
-        if (starts.isEmpty() && stops.isEmpty() && !fencing) return
-        stops.forEach {
-            it.stopSentAt = ctx.now
-            orders.add(order("halt", it.piece, it.run, it.stopGraceS ?: 0.0))
-        }
-        starts.take(MOST_ORDERS).forEach {
-            it.phase = Phase.SENT
-            orders.add(order("run", it.piece, it.run))
-        }
-        if (starts.isNotEmpty()) machine.runToken = machine.token
-        send(machine, address, orders, starts.take(MOST_ORDERS), stops)
-    }
-
-    private fun startable(
-        claim: Claim,
-        machine: Machine,
-    ): Boolean =
-        claim.phase == Phase.CLAIMED && claim.session == machine.session && claim.stopGraceS == null &&
-            ledger.jobs[claim.job]?.let { it.ending != Standing.WITHDRAWN } == true
-
-    private fun savesAsGang(claim: Claim): Boolean = (claim.stopGraceS ?: 0.0) > 0 && ledger.jobs[claim.job]?.spec?.gang == true
-
-    private fun wantsStop(claim: Claim): Boolean {
-        if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
-        if (claim.phase == Phase.SAVING && ledger.jobs[claim.job] != null) return false
-        if (claim.stopTold && savesAsGang(claim)) return false
-        return claim.stopGraceS != null || ledger.jobs[claim.job] == null
-    }
-
-    private fun send(
-        machine: Machine,
-        address: Endpoint,
-        orders: ArrayNode,
-        starts: List<Claim>,
-        stops: List<Claim> = emptyList(),
-    ) {
-        machine.commanding = true
-        ctx.count("worker.commands")
-        val token = machine.token
-        val session = machine.session
-        val body =
-            Json.obj {
-                put("baton", token)
-                put("stint", session)
-                set<JsonNode>("orders", orders)
-            }
-        val term = leadership.term
-        deliver(machine, address, Json.write(body)) { outcome ->
-            if (!leadership.leading || leadership.term != term || machines[machine.id] !== machine) return@deliver
-            machine.commanding = false
-            val answer = outcome as? Outcome.Answered
-            val report = answer?.let { Json.parseOrNull(it.body) }
-            when {
-                answer != null && report != null && (answer.status == 200 || answer.status == 409) -> {
-                    machine.refusals = 0
-                    // On 409 nothing was executed: what was to start has still to be sent.
-                    if (answer.status == 409) unsend(starts) else stops.forEach { it.stopTold = true }
-                    if (take(machine, report) && loaded) reconcile(machine)
-                    if (machine.echoed shr TERM_SHIFT > leadership.term) {
-                        leadership.stepDown("worker ${machine.id} has seen a higher token")
-                        return@deliver
-                    }
-                    if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
-                    onChange()
-                }
-
-                outcome is Outcome.NotSent || answer?.status == 400 -> {
-                    unsend(starts)
-                    retryLater(machine)
-                    if (machine.refusals >= REFUSALS_TO_LEAVE) {
-                        // It may report and still not hear: what has not left goes elsewhere, and nothing more comes here before
-                        // its worker has seen a token that only an answer of ours can have brought.
-                        machine.token = nextToken()
-                        machine.mustEcho = machine.token
-                        withdrawUnsent(machine, "never sent, and its machine cannot be reached")
-                    }
-                }
-
-                else -> {
-                    // Possibly executed, or held back to be executed later: only a higher token seen by the worker settles it.
-                    ctx.info("command to ${machine.id} has an unknown outcome; fencing it")
-                    machine.openToken = maxOf(machine.openToken, token)
-                    machine.token = nextToken()
-                    machine.mustEcho = machine.token
-                    retryLater(machine)
-                }
-            }
-        }
-    }
-
-    /** Straight to the worker, or the way its reports come where it cannot reach us itself. */
-    private fun deliver(
-        machine: Machine,
-        address: Endpoint,
-        body: String,
-        then: (Outcome) -> Unit,
-    ) {
-        val via = machine.via
-        val timeoutS = times.reportS * COMMAND_PART
-        val zone = machine.zone
-        if (via == null) {
-            ctx.call(address, "POST", "/do", body, timeoutS) { outcome ->
-                reach.commanded(zone, outcome is Outcome.Answered)
-                then(outcome)
-            }
-        } else {
-            peers.ask(via, "POST", Relay.COMMAND + address, body, timeoutS * 2) { answer ->
-                then(
-                    when {
-                        answer == null -> Outcome.Unknown
-                        answer.status == Relay.NOT_SENT -> Outcome.NotSent
-                        answer.status == Relay.UNKNOWN -> Outcome.Unknown
-                        else -> Outcome.Answered(answer.status, answer.body)
-                    },
-                )
-            }
-        }
-    }
-
-    /** A machine that is overdue is asked directly, so that a dead one is told from one whose reports go astray. */
-    private fun ask(machine: Machine) {
-        val address = machine.address ?: return
-        val wanted = machine.up || !ledger.byMachine[machine.id].isNullOrEmpty()
-        if (!wanted || machine.commanding || machine.leaving || ctx.now < machine.nextCommandAt || !leadership.standing) return
-        if (ctx.now > machine.silentSince + times.reportS * OVERDUE_REPORTS) send(machine, address, Json.arr(), emptyList())
-    }
-
-    /** Now and then one machine of a zone that is cut off is tried, with nothing to do for it. */
-    private fun probe() {
-        if (ctx.now < probeAt) return
-        probeAt = ctx.now + PROBE_S
-        for (zone in reach.left()) {
-            val there =
-                machines.values.filter { it.zone == zone && it.up && it.via == null && it.address != null && !it.commanding && !it.leaving }
-            val machine = there.randomOrNull(ctx.random) ?: continue
-            send(machine, machine.address ?: continue, Json.arr(), emptyList())
-        }
-    }
-
-    private fun retryLater(machine: Machine) {
-        machine.refusals++
-        machine.nextCommandAt = ctx.now + RETRY_S * minOf(machine.refusals, 8)
-    }
-
-    private fun unsend(starts: List<Claim>) {
-        for (claim in starts) {
-            if (claim.phase != Phase.SENT) continue
-            claim.phase = Phase.CLAIMED
-            // Its gang's attempt was over before it could begin.
-            if (claim.stopGraceS != null) lose(claim, "never sent, and its gang is gone")
-        }
-    }
+    fun command(machine: Machine) = commands.command(machine)
 
     // --- losses
 
     fun tick() {
         if (ctx.now < sweepAt) return
         sweepAt = ctx.now + times.reportS / SWEEPS_A_REPORT
-        probe()
-        if (loaded) leaveSlow()
+        commands.probe(machines.values)
+        if (loaded) leaving.leaveSlow(machines.values)
         for (machine in machines.values.toList()) {
             if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
             if (loaded && silent(machine)) withdrawUnsent(machine, "never sent, and its machine is silent")
             if (loaded && !machine.hears) withdrawUnsent(machine, "never sent, and its machine does not hear")
-            if (machine.recallAt != null) drain(machine)
+            if (machine.recallAt != null) leaving.drain(machine)
             command(machine)
-            if (loaded && !machine.lapsed) ask(machine)
+            if (loaded && !machine.lapsed) commands.ask(machine)
         }
     }
 
     /** A claim that never left and whose machine has gone quiet is taken back and placed elsewhere. */
-    private fun withdrawUnsent(
+    override fun withdrawUnsent(
         machine: Machine,
         reason: String,
     ) {
-        ledger.byMachine[machine.id]
+        ledger.claims.byMachine[machine.id]
             ?.values
             ?.filter {
                 it.phase == Phase.CLAIMED
@@ -573,74 +361,6 @@
             ?.forEach { lose(it, reason) }
     }
 
-    /**
-     * A machine whose tasks take much longer than others of the same jobs is given up: what runs there starts again elsewhere
-     * sooner than it would end. Not where many seem slow at once: then it is our measure that is wrong.
-     */
-    private fun leaveSlow() {
-        if (ctx.now < slowAt) return
-        slowAt = ctx.now + times.reportS / 2
-        val up = machines.values.filter { it.up && !it.lapsed && !it.leaving && !silent(it) }
-        val slow = up.filter { slowness.isSlow(it) }
-        if (slow.size > up.size * MOST_SLOW) return
-        for (machine in slow) {
-            ctx.info(
-                "machine ${machine.id} is slow: its tasks take over ${Slowness.SLOW} times as long as others of their jobs; leaving it",
-            )
-            machine.leaving = true
-            slowness.running(machine).forEach { claim ->
-                val job = ledger.jobs[claim.job] ?: return@forEach
-                val spec = job.spec
-                when {
-                    spec.gang -> stopGang(job, "machine ${machine.id} is slow", mustSave = false)
-                    claim.stopGraceS == null -> claim.stopGraceS = if (spec.checkpointS > 0) spec.saveS * Gangs.GRACE else 0.0
-                }
-            }
-        }
-    }
-
-    /** Tasks that can save do so before the cloud takes the machine; the others may yet finish. */
-    private fun drain(machine: Machine) {
-        val gangs = LinkedHashSet<Job>()
-        for (claim in ledger.byMachine[machine.id]?.values.orEmpty()) {
-            val job = ledger.jobs[claim.job] ?: continue
-            val spec = job.spec
-            if (spec.gang) {
-                gangs += job
-                continue
-            }
-            if (claim.phase == Phase.RUNNING && spec.checkpointS > 0 && claim.stopGraceS == null) {
-                claim.stopGraceS = spec.saveS * 2
-                ctx.info("task ${claim.piece} is stopped on ${machine.id}: the cloud takes the machine back")
-            }
-        }
-        gangs.forEach { stopGang(it, "the cloud takes ${machine.id} back", mustSave = true) }
-    }
-
-    /**
-     * Stops a gang in order: every task is told at once, since the save fails unless all hear of it within a short time. One that
-     * cannot be told, or cannot save where it [mustSave], is left to run: it may yet end before its machine does.
-     */
-    private fun stopGang(
-        job: Job,
-        reason: String,
-        mustSave: Boolean,
-    ) {
-        val state = Gangs.state(job)
-        if (state != Gangs.State.RUNNING && state != Gangs.State.GATHERING) return
-        val on =
-            job.claims.values
-                .mapNotNull { machines[it.machine] }
-                .distinct()
-        if (state == Gangs.State.RUNNING) {
-            if (mustSave && job.spec.checkpointS <= 0) return
-            if (!on.all { it.up && it.hears && !it.lapsed && it.refusals == 0 && !silent(it) && reaches(it) }) return
-        }
-        ctx.info("gang ${job.spec.id} run ${job.highestRun} is stopped: $reason")
-        Gangs.stop(job).filter { it.phase == Phase.CLAIMED }.forEach { lose(it, reason) }
-        on.forEach { command(it) }
-    }
-
     fun silent(machine: Machine): Boolean = ctx.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
 
     private fun fenced(machine: Machine): Boolean = machine.echoed shr TERM_SHIFT == leadership.term
@@ -667,20 +387,11 @@
         machines.remove(machine.id)
         setStrays(machine, emptySet())
         loseAll(machine, reason)
-        ledger.byMachine.remove(machine.id)
+        ledger.claims.byMachine.remove(machine.id)
     }
 
     internal companion object {
         const val TERM_SHIFT = 20
-        private const val MOST_ORDERS = 100
-        private const val RETRY_S = 0.5
-        private const val MOST_SLOW = 0.25
-        private const val REFUSALS_TO_LEAVE = 2
-        private const val OVERDUE_REPORTS = 1.6
-        private const val PROBE_S = 1.0
-
-        /** How long a command's answer is waited for, in report intervals. */
-        private const val COMMAND_PART = 0.5
         private const val SWEEPS_A_REPORT = 10
         private const val SILENT_REPORTS = 2.5
         private const val FAILURES_TO_QUARANTINE = 2
--- a/src/test/kotlin/burlridge/intent/LedgerTest.kt
+++ b/src/test/kotlin/burlridge/intent/LedgerTest.kt
@@ -42,11 +42,11 @@
     ) {
         val jobs = """{"$job":["crew",1.0,0.0,1.0,[${starts.joinToString()}]]}"""
         val value = """{"st":"claimed","n":"$slot","tok":1,"until":0,"zones":["a"],"jobs":$jobs}"""
-        ledger.loadRound(Row("round/$slot", Json.parse(value), 5))
+        ledger.claims.loadRound(Row("round/$slot", Json.parse(value), 5))
     }
 
     private fun on(machine: String): Map<String, Int> =
-        ledger.byMachine[machine]
+        ledger.claims.byMachine[machine]
             .orEmpty()
             .mapValues { it.value.run }
 
@@ -58,7 +58,12 @@
         round("1-1", "j-1", """[0,1,"m-1",1,0,0]""")
         ledger.settleLoaded()
         assertEquals(mapOf("j-1/0" to 2), on("m-1"))
-        assertEquals(1.0, ledger.used.getValue("crew").cpus)
+        assertEquals(
+            1.0,
+            ledger.claims.used
+                .getValue("crew")
+                .cpus,
+        )
     }
 
     @Test
@@ -69,7 +74,12 @@
         val job = ledger.jobs.getValue("j-1")
         assertEquals(Gangs.State.FREE, Gangs.state(job))
         assertEquals(4, job.highestRun)
-        assertEquals(0.0, ledger.used.getValue("crew").cpus)
+        assertEquals(
+            0.0,
+            ledger.claims.used
+                .getValue("crew")
+                .cpus,
+        )
     }
 
     @Test
@@ -83,7 +93,7 @@
         assertEquals(Gangs.State.OVER, Gangs.state(ledger.jobs.getValue("j-2")))
         assertEquals(
             0.0,
-            ledger.byMachine
+            ledger.claims.byMachine
                 .getValue("m-2")
                 .getValue("j-2/1")
                 .stopGraceS,
