--- /dev/null
+++ b/src/test/kotlin/burlridge/intent/LimitsTest.kt
@@ -0,0 +1,161 @@
+package burlridge.intent
+
+import burlridge.app.Context
+import burlridge.app.Effect
+import burlridge.app.Input
+import burlridge.app.Json
+import burlridge.app.Outcome
+import burlridge.app.Rehearsal
+import burlridge.app.Settings
+import burlridge.leadership.Leadership
+import burlridge.sim.Clock
+import burlridge.sim.StateService
+import burlridge.store.Row
+import burlridge.store.Store
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.Base64
+import java.util.BitSet
+
+/** The largest transaction of each kind, against a state service that has lowered its limits. */
+internal class LimitsTest {
+    private val clock = Clock()
+    private val state = StateService(clock).also { it.lower(valueKb = 2.0, txnOps = 4) }
+    private val settings =
+        Settings.parse(
+            Rehearsal.settings().replace("\"txn_ops\":8", "\"txn_ops\":8,\"next\":{\"value_kb\":2,\"txn_ops\":4,\"write_rps\":18}"),
+        )
+    private val ctx = Context(settings, 1)
+    private val store = Store(ctx)
+    private val nobody =
+        object : Leadership.Events {
+            override fun onElected() = Unit
+
+            override fun onDeposed() = Unit
+        }
+    private val leadership = Leadership(ctx, store, nobody)
+    private val ledger = Ledger(ctx, store, leadership)
+
+    /** Lets [seconds] pass, with the state service answering at once. */
+    private fun pass(seconds: Double) {
+        repeat((seconds * 10).toInt()) {
+            clock.runUntil(clock.now + 0.1)
+            ctx.begin(clock.now, (clock.now * 1000).toLong())
+            leadership.tick()
+            if (leadership.leading) ledger.tick()
+            ctx.runDue()
+            store.pump()
+            answer()
+        }
+    }
+
+    private fun answer() {
+        val calls = ArrayDeque(ctx.finish())
+        while (calls.isNotEmpty()) {
+            val call = calls.removeFirst() as? Effect.Call ?: continue
+            state.handle(call.method, call.path, call.body.orEmpty()) { status, body ->
+                ctx.called(Input.CallDone(call.call, Outcome.Answered(status, body)))
+            }
+            calls += ctx.finish()
+        }
+    }
+
+    private fun admit(
+        id: String,
+        tasks: Int,
+    ): Job {
+        val body =
+            """{"id":"$id","lane":"l","crew":"crew","shape":"array","urgency":"high","pieces":$tasks,"vcpus":0.1,"gpus":0.0,
+            "ramGb":0.0,"bundle":"i","pullGb":1.0,"together":false,"spread":false,"loaners":true,"guessS":1.0,"markEveryS":0.0,
+            "markCostS":0.0}"""
+        put("live/$id", """{"job":$body,"fp":"x","at":0}""")
+        return checkNotNull(ledger.admit(id, Json.parse("""{"job":$body,"fp":"x","at":0}"""), stampOf("live/$id")))
+    }
+
+    private fun put(
+        key: String,
+        value: String,
+    ) = state.handle("POST", "/multi", """{"if":[],"then":[{"set":"$key","value":$value}]}""") { status, _ -> assertEquals(200, status) }
+
+    private fun stampOf(key: String): Long {
+        var stamp = 0L
+        state.handle("GET", "/store/$key", "") { _, body -> stamp = Json.parse(body).path("stamp").asLong() }
+        return stamp
+    }
+
+    /** Guards the end of the largest job: with its four old progress rows it has six changes, and was repeated for ever. */
+    @Test
+    fun `the largest job's progress and end fit, beside rows that the old limits allowed`() {
+        pass(3.0)
+        val job = admit("j-1", JobSpecLimits.TASKS)
+        val bits = Base64.getEncoder().encodeToString(BitSet().apply { set(0, Progress.CHUNK) }.toByteArray())
+        repeat(2) { chunk ->
+            // Written before the limits were lowered.
+            state.lower(valueKb = 8.0, txnOps = 8)
+            put("prog/j-1/$chunk", """{"bits":"$bits"}""")
+            state.lower(valueKb = 2.0, txnOps = 4)
+            ledger.loadProgress(Row("prog/j-1/$chunk", Json.parse("""{"bits":"$bits"}"""), 1))
+        }
+        assertEquals(2 * Progress.CHUNK, job.durable.cardinality())
+        (2 * Progress.CHUNK until JobSpecLimits.TASKS - 1).forEach { ledger.markDone(job, it) }
+        pass(120.0)
+        assertEquals(JobSpecLimits.TASKS - 1, job.durable.cardinality())
+        assertTrue(state.keys("prog/").size > 4)
+        ledger.markDone(job, JobSpecLimits.TASKS - 1)
+        pass(20.0)
+        assertEquals(listOf("over/j-1"), state.keys("over/"))
+        assertEquals(emptyList<String>(), state.keys("prog/") + state.keys("live/"))
+        assertEquals(0, state.refusedAsTooLarge)
+    }
+
+    /** Guards progress rows that a leader has not removed before it died: nobody else would. */
+    @Test
+    fun `progress of a job that is over is removed by the leader that finds it`() {
+        pass(3.0)
+        repeat(6) { put("prog/j-9/b${it * 8}", """{"bits":"/w=="}""") }
+        state.keys("prog/").forEach { ledger.loadProgress(Row(it, Json.parse("""{"bits":"/w=="}"""), 1)) }
+        pass(10.0)
+        assertEquals(emptyList<String>(), state.keys("prog/"))
+        assertEquals(0, state.refusedAsTooLarge)
+    }
+
+    /** Guards rows of 8 KiB that production left: marking a loss in one would be refused for ever. */
+    @Test
+    fun `a round of the old size is marked as soon as that fits, and removed at its end`() {
+        pass(3.0)
+        val job = admit("j-1", 200)
+        val starts = (0 until 150).joinToString { "[$it,1,\"m-00000$it\",1,0,0]" }
+        val value = """{"st":"claimed","n":"1-0","tok":1,"until":0,"zones":["a"],"jobs":{"j-1":["crew",0.1,0.0,0.0,[$starts]]}}"""
+        state.lower(valueKb = 8.0, txnOps = 8)
+        put("round/1-0", value)
+        state.lower(valueKb = 2.0, txnOps = 4)
+        ledger.claims.loadRound(Row("round/1-0", Json.parse(value), stampOf("round/1-0")))
+        ledger.settleLoaded()
+
+        fun claimsOf(tasks: IntRange) = tasks.map { job.claims.get(it) }
+        claimsOf(0..0).forEach { ledger.claims.release(it, lost = true) }
+        pass(5.0)
+        // Of 149 nothing is known yet: too much for a row.
+        assertEquals(1, decode(Row("round/1-0", Json.parse(value), 1)).claims.count { it.task == 0 })
+        claimsOf(1..130).forEach {
+            ledger.claims.release(it, lost = false)
+            ledger.markDone(job, it.task)
+            job.durable.set(it.task)
+        }
+        claimsOf(131..131).forEach { ledger.claims.release(it, lost = true) }
+        pass(5.0)
+        var row = ""
+        state.handle("GET", "/store/round/1-0", "") { _, body -> row = body }
+        assertTrue("[131,1,\"m-00000131\",1,0,1]" in row, row)
+        (0 until 200).forEach { if (!job.done.get(it)) ledger.markDone(job, it) }
+        claimsOf(132..149).forEach { it?.let { claim -> ledger.claims.release(claim, lost = false) } }
+        pass(20.0)
+        assertEquals(emptyList<String>(), state.keys("round/"))
+        assertEquals(0, state.refusedAsTooLarge)
+    }
+
+    private object JobSpecLimits {
+        const val TASKS = burlridge.intake.JobSpec.MOST_TASKS
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/intent/ProductionTest.kt
@@ -0,0 +1,105 @@
+package burlridge.intent
+
+import burlridge.app.Json
+import burlridge.intake.JobSpec
+import burlridge.peer.PeerMessage
+import burlridge.store.Row
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.HexFormat
+
+/** Rows and messages kept from the version in production (see README.md beside them): read, and for arrays written alike. */
+internal class ProductionTest {
+    private fun lines(name: String): List<String> =
+        checkNotNull(javaClass.getResource("/production/$name")).readText().lines().filter { it.isNotEmpty() }
+
+    private val rows =
+        lines("rows.jsonl").map { Json.parse(it) }.map { Row(it.path("key").asText(), it.path("value"), it.path("stamp").asLong()) }
+
+    private fun rows(prefix: String): List<Row> = rows.filter { it.key.startsWith(prefix) }.also { assertTrue(it.isNotEmpty()) }
+
+    @Test
+    fun `a job of production is read, and an array is written byte for byte as it writes it`() {
+        for (row in rows("live/")) {
+            val spec = JobSpec.parse(row.value.path("job"))
+            assertEquals(row.value.path("fp").asText(), spec.fingerprint)
+            assertEquals(Json.write(row.value.path("job")), Json.write(spec.encode()))
+        }
+    }
+
+    @Test
+    fun `a round of production is read, and written byte for byte as it writes it`() {
+        for (row in rows("round/")) {
+            val round = decode(row)
+            assertTrue(round.claims.size > 100)
+            assertEquals(Json.write(row.value), Json.write(encode(round, row.value.path("tok").asLong(), row.value.path("until").asLong())))
+        }
+    }
+
+    @Test
+    fun `progress of production is read, and written alike where a value holds it`() {
+        val row = rows("prog/").single()
+        val large = Progress(8 * 1024)
+        val done = assertNotNull(large.decode(row)).let { large.decode(row) } ?: return
+        assertEquals(Progress.CHUNK, done.cardinality())
+        val part = large.partOf(job(40_000), 5)
+        assertEquals(row.key, part.key)
+        assertEquals(Json.write(row.value), Json.write(large.encode(done, part)))
+    }
+
+    /** Guards progress under the limits to come: rows of the old form are too large, and the old version must not misread the new. */
+    @Test
+    fun `where values are smaller progress is kept in a form that production passes over`() {
+        val small = Progress(2 * 1024)
+        val done = java.util.BitSet().apply { set(0, 40_000) }
+        val read = java.util.BitSet()
+        var task = 0
+        while (task < 40_000) {
+            val part = small.partOf(job(40_000), task)
+            val value = small.encode(done, part)
+            assertTrue(Json.write(value).length <= 2 * 1024, "${Json.write(value).length} bytes")
+            assertNull(part.key.substringAfterLast('/').toIntOrNull(), "production reads a number as its own chunk")
+            read.or(checkNotNull(small.decode(Row(part.key, value, 1))))
+            task = part.end
+        }
+        assertEquals(done, read)
+        assertEquals("prog/j-000090/0", small.partOf(job(500), 3).key)
+    }
+
+    private fun job(tasks: Int): Job {
+        val body = rows("live/").first().value.path("job")
+        return Job(JobSpec.parse(body).copy(id = "j-000090", tasks = tasks), 1, 0)
+    }
+
+    @Test
+    fun `every message of production is read, and written byte for byte alike`() {
+        for (line in lines("messages.txt")) {
+            val (hex, says) = line.split("  ", limit = 2)
+            val bytes = HexFormat.of().parseHex(hex)
+            val message = PeerMessage.decode(bytes)
+            assertEquals(says, message.toString())
+            assertArrayEquals(bytes, PeerMessage.encode(message))
+        }
+    }
+
+    /** Guards the links: production ends one on a kind that it does not know, so none is sent; and none ends ours. */
+    @Test
+    fun `a message of a kind or with a field that is not known yet ends nothing`() {
+        val known = HexFormat.of().parseHex(lines("messages.txt").last().substringBefore(' '))
+        val kindOfLater = known.clone().also { it[2] = 'z'.code.toByte() }
+        assertNull(PeerMessage.decodeOrNull(kindOfLater))
+        // Field 9 of the message itself, a number.
+        val longer = known.clone().also { it[4] = (it[4] + 2).toByte() } + byteArrayOf(0x48, 0x01)
+        assertEquals(PeerMessage.decode(known), PeerMessage.decodeOrNull(longer))
+    }
+
+    @Test
+    fun `ends and terms of production are what this version looks for`() {
+        rows("over/").forEach { row -> assertTrue(Standing.entries.any { it.wire == row.value.path("st").asText() }) }
+        rows("term").forEach { row -> assertTrue(row.value.path("n").isIntegralNumber && row.value.path("led").isObject) }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/MixedTest.kt
@@ -0,0 +1,103 @@
+package burlridge.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * The upgrade while the service serves: members are killed and come back new, a few at a time, while others keep to the forms and
+ * limits of the version before. It knows neither gangs nor the limits to come, so such a member is one whose settings lack both.
+ */
+internal class MixedTest {
+    private val limits = """{"value_kb":2,"txn_ops":4,"write_rps":30}"""
+
+    private fun mixed(seed: Int): World = World(seed, next = limits, old = true)
+
+    private fun World.verdict(jobs: List<String>) {
+        assertEquals(emptyList<String>(), rules.broken, log.takeLast(60).joinToString("\n"))
+        assertEquals(emptyList<String>(), jobs.filterNot { rules.finished(it) }, "not over:\n" + log.takeLast(60).joinToString("\n"))
+    }
+
+    private fun World.arrays(count: Int): List<String> =
+        (0 until count).map { i ->
+            val spec =
+                when (i % 3) {
+                    0 -> job(i, 20, cpus = 0.5, runS = 25.0)
+                    1 -> job(i, 4, cpus = 2.0, team = "crew-x", oneZone = true)
+                    else -> job(i, 5, spread = true, runS = 8.0)
+                }
+            clock.after(5.0 + 4.0 * i) { submit(spec, abortAfter = if (i % 7 == 6) 10.0 else null) }
+            spec.id
+        }
+
+    private fun World.roll(from: Double) {
+        members.forEachIndexed { i, member -> clock.after(from + 12.0 * i) { upgrade(member, 2.0) } }
+    }
+
+    @Test
+    fun `members are upgraded one by one under load, then the limits are lowered, then gangs come`() {
+        val world = mixed(31)
+        val jobs = world.arrays(24)
+        world.roll(30.0)
+        world.clock.after(75.0) { world.state.lower(valueKb = 2.0, txnOps = 4) }
+        world.clock.after(80.0) { world.submit(world.gang(90, 6)) }
+        world.run(240.0)
+        world.verdict(jobs + "j-000090")
+        assertEquals(0, world.state.refusedAsTooLarge)
+    }
+
+    /** Guards the gate: an older leader cannot read a gang's row, and would stop its tasks. */
+    @Test
+    fun `no gang is taken before every member knows gangs, and one is while a member that knows them is down`() {
+        val world = mixed(32)
+        val answers = ArrayList<Pair<Double, Int>>()
+        var retryAfter = true
+
+        fun ask(
+            at: Double,
+            number: Int,
+        ) {
+            val spec = world.gang(number, 2)
+            world.rules.submitted(spec)
+            world.clock.after(at) {
+                val member = world.upgraded().randomOrNull(world.random) ?: return@after
+                world.request("user", member, "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, _ ->
+                    answers += at to status
+                    world.rules.answered(spec.id, status, null, submission = true)
+                }
+            }
+        }
+        world.upgradeAt("drover-0", 20.0)
+        world.upgradeAt("drover-1", 32.0)
+        listOf(28.0, 40.0, 46.0).forEachIndexed { i, at -> ask(at, i) }
+        world.onAnswer = { status, retryS -> if (status == 503 && retryS == null) retryAfter = false }
+        world.upgradeAt("drover-2", 50.0)
+        world.clock.after(60.0) { world.crash("drover-2", 30.0) }
+        world.clock.after(61.0) { world.crash("drover-0", 0.2) }
+        ask(70.0, 10)
+        world.run(120.0)
+        assertEquals(listOf(503, 503, 503, 201), answers.sortedBy { it.first }.map { it.second })
+        assertTrue(retryAfter, "a refusal without Retry-After")
+        assertEquals(emptyList<String>(), world.rules.broken)
+    }
+
+    /** Guards what old and new write to the same rows, whichever leads, and the rows that are too large for the limits to come. */
+    @Test
+    fun `whatever fails during the upgrade, the rules hold and every job ends`() {
+        val days = System.getProperty("luck")?.toInt() ?: 12
+        for (seed in 1..days) {
+            val world = mixed(seed + 300)
+            val jobs = world.arrays(24)
+            world.roll(25.0 + seed % 20)
+            Troubles(world, seed).draw(8, 20.0, 110.0)
+            world.clock.after(85.0) { world.state.lower(valueKb = 2.0, txnOps = 4) }
+            repeat(4) { i -> world.clock.after(90.0 + 5 * i) { world.submit(world.gang(90 + i, 4)) } }
+            world.run(420.0)
+            try {
+                world.verdict(jobs + (0 until 4).map { "j-%06d".format(90 + it) })
+            } catch (e: AssertionError) {
+                throw AssertionError("seed $seed: ${e.message}", e)
+            }
+        }
+    }
+}
--- a/src/test/kotlin/burlridge/sim/StateService.kt
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -44,6 +44,22 @@
     val mostRequests: Int get() = requestsIn.values.maxOrNull() ?: 0
     val mostWrites: Int get() = writesIn.values.maxOrNull() ?: 0
 
+    private var valueBytes = 8 * 1024
+    private var txnOps = 8
+
+    /** Transactions beyond the limits. */
+    var refusedAsTooLarge = 0
+        private set
+
+    /** From now on less is taken; what is stored stays. */
+    fun lower(
+        valueKb: Double,
+        txnOps: Int,
+    ) {
+        valueBytes = (valueKb * 1024).toInt()
+        this.txnOps = txnOps
+    }
+
     fun outage(seconds: Double) {
         down = true
         clock.after(seconds) {
@@ -128,9 +144,12 @@
         reply: (Int, String) -> Unit,
     ) {
         val ops = txn.path("then").toList()
-        check(ops.size <= 8) { "too many changes in a transaction: ${ops.size}" }
         check(txn.toString().length <= 64 * 1024) { "transaction too large" }
-        ops.forEach { check(it.path("value").toString().length <= 8 * 1024) { "value too large" } }
+        check(txn.path("if").size() <= 4 * txnOps) { "too many conditions: ${txn.path("if").size()}" }
+        if (ops.size > txnOps || ops.any { it.path("value").toString().length > valueBytes }) {
+            refusedAsTooLarge++
+            return reply(400, "{\"error\":\"too large\"}")
+        }
         writes += ops.size
         writesIn.merge(clock.now.toInt(), ops.size, Int::plus)
         if (ops.any { it.has("tether") && it.path("tether").asLong() !in leases }) return reply(400, "{\"error\":\"no such lease\"}")
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -29,6 +29,8 @@
     private val guaranteed: Double = 24.0,
     /** Limits that the state service may have from some moment on. */
     private val next: String? = null,
+    /** Whether members start as of the version before: it knows neither gangs nor limits to come. */
+    old: Boolean = false,
     private val lanes: String = """{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}""",
 ) {
     val clock = Clock()
@@ -84,7 +86,32 @@
         members.forEachIndexed { i, name -> clock.after(0.1 * i) { start(name) } }
     }
 
+    private val new: HashSet<String> = if (old) HashSet() else members.toHashSet()
+
+    /** Members of the new version that are up. */
+    fun upgraded(): List<String> = members.filter { it in new && controllers[it] != null }
+
+    /** Kills a member, which comes back new. */
+    fun upgrade(
+        name: String,
+        backAfter: Double,
+    ) {
+        new += name
+        if (controllers[name] != null) crash(name, backAfter)
+    }
+
+    fun upgradeAt(
+        name: String,
+        at: Double,
+    ) = clock.after(at) { upgrade(name, 2.0) }
+
+    /** Told of each answer to a user. */
+    var onAnswer: (status: Int, retryAfterS: Int?) -> Unit = { _, _ -> }
+
     private fun settings(name: String): Settings {
+        val knows = name in new
+        val gangTimes = if (knows) "\"gang_wait_s\":$gangWaitS,\"gang_peer_s\":$gangPeerS," else ""
+        val limitsToCome = next?.takeIf { knows }?.let { ",\"next\":$it" }.orEmpty()
         val others = members.filter { it != name }
         return Settings.parse(
             """{"member":"$name","zone":"a","serve_on":"10.0.0.${members.indexOf(name) + 1}:80","peer_bind":"10.0.0.1:81",
@@ -92,10 +119,8 @@
             "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
             "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
             "objectives":[$lanes],
-            "workers":{"report_s":$reportS,"lease_s":$leaseS,"gang_wait_s":$gangWaitS,"gang_peer_s":$gangPeerS,"cancel_s":$cancelS},
-            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8${next?.let {
-                ",\"next\":$it"
-            }.orEmpty()}},"cloud":{"rps":8,"list_lag_s":3}}}""",
+            "workers":{"report_s":$reportS,"lease_s":$leaseS,$gangTimes"cancel_s":$cancelS},
+            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3}}}""",
         )
     }
 
@@ -191,6 +216,7 @@
     ) {
         when (effect) {
             is Effect.Answer -> {
+                onAnswer(effect.status, effect.retryAfterS)
                 openRequests.remove(name to effect.id)?.invoke(effect.status, effect.body)
             }
 
