--- a/src/main/kotlin/burlridge/app/Context.kt
+++ b/src/main/kotlin/burlridge/app/Context.kt
@@ -22,6 +22,7 @@
     private var nextCall = 1L
     private var debts = java.util.PriorityQueue<Debt>()
     private var nextDebt = 0L
+    private val floods = Floods()
 
     private class Debt(
         val at: Double,
@@ -47,6 +48,7 @@
     ) {
         this.wallMs = wallMs
         this.now = maxOf(now, this.now)
+        floods.sumUp(this.now).forEach(::info)
     }
 
     fun finish(): List<Effect> = effects.also { effects = ArrayList() }
@@ -106,6 +108,14 @@
         effects += Effect.Log(Level.INFO, text)
     }
 
+    /** A line of which hundreds may come at once: of each [kind] the first of a second are logged, and the others summed up. */
+    fun often(
+        kind: String,
+        text: String,
+    ) {
+        if (floods.admits(kind, now)) info(text)
+    }
+
     fun debug(text: String) {
         effects += Effect.Log(Level.DEBUG, text)
     }
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -41,7 +41,9 @@
         val held = HashMap<String, Int>()
         now.forEach { held.merge(it.spec.lane, it.claims.size, Int::plus) }
         val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, slackS(it), held[it.spec.lane] ?: 0) }
-        return waiting.sortedBy { it.spec.priority } + headroom() + expectedGangs(types)
+        // In the order in which placement gives room away: what is kept for gangs is no room for arrays.
+        val (gangs, arrays) = waiting.sortedBy { it.spec.priority }.partition { it.spec.gang }
+        return gangs + expectedGangs(types) + arrays + headroom()
     }
 
     /**
--- a/src/main/kotlin/burlridge/fleet/Returns.kt
+++ b/src/main/kotlin/burlridge/fleet/Returns.kt
@@ -26,14 +26,18 @@
             // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
             val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
             if (machine.zone in heard && buried(machine)) {
-                ctx.info(
+                ctx.often(
+                    "silent machines returned",
                     "machine ${machine.id} is silent for ${(ctx.now - machine.silentSince).toInt()} s and cannot be reached; returning it to be certain",
                 )
                 machine.dead = true
             }
             val deafSince = machine.deafSince
             if (machine.zone in heard && !machine.dead && deafSince != null && ctx.now > deafSince + ctx.settings.workers.leaseS / 2) {
-                ctx.info("machine ${machine.id} reports but has heard nothing for ${(ctx.now - deafSince).toInt()} s; returning it")
+                ctx.often(
+                    "deaf machines returned",
+                    "machine ${machine.id} reports but has heard nothing for ${(ctx.now - deafSince).toInt()} s; returning it",
+                )
                 machine.dead = true
             }
             if (overdue && !machine.leaving) {
--- a/src/main/kotlin/burlridge/worker/Commands.kt
+++ b/src/main/kotlin/burlridge/worker/Commands.kt
@@ -133,6 +133,8 @@
                     }
                     if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
                     events.changed()
+                    // What was claimed while this was under way need not wait for the next sweep: a gang waits for its last task.
+                    if (startsOf(machine).isNotEmpty()) command(machine)
                 }
 
                 outcome is Outcome.NotSent || answer?.status == 400 -> {
@@ -149,7 +151,7 @@
 
                 else -> {
                     // Possibly executed, or held back to be executed later: only a higher token seen by the worker settles it.
-                    ctx.info("command to ${machine.id} has an unknown outcome; fencing it")
+                    ctx.often("commands of unknown outcome", "command to ${machine.id} has an unknown outcome; fencing it")
                     machine.openToken = maxOf(machine.openToken, token)
                     machine.token = events.nextToken()
                     machine.mustEcho = machine.token
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -227,7 +227,10 @@
                 // A state of a later day: the machine has the task, and that is all that is known.
                 else -> {
                     ctx.count("worker.unknown_words")
-                    ctx.info("machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.standing.take(WORD)}")
+                    ctx.often(
+                        "states not known",
+                        "machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.standing.take(WORD)}",
+                    )
                     maxOf(before, Phase.FETCHING)
                 }
             }
@@ -265,7 +268,7 @@
             }
 
             "stopped" -> {
-                ctx.info("task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
+                ctx.often("tasks stopped", "task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
             }
 
             "error" -> {
@@ -282,12 +285,15 @@
 
             // No fault of the machine or of the job: another task of the gang was gone, or late.
             "peers", "incomplete" -> {
-                ctx.info("task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.cause}")
+                ctx.often(
+                    "gang tasks ended without their gang",
+                    "task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.cause}",
+                )
             }
 
             else -> {
                 if (report.cause !in REFUSALS) ctx.count("worker.unknown_words")
-                ctx.info("start of ${claim.piece} refused by ${machine.id}: ${report.cause?.take(WORD)}")
+                ctx.often("starts refused", "start of ${claim.piece} refused by ${machine.id}: ${report.cause?.take(WORD)}")
                 job.holdOff(claim.task, ctx.now + times.reportS / 3)
                 if (report.cause == "full") machine.notBefore = ctx.now + times.reportS / 3
             }
@@ -299,7 +305,12 @@
         reason: String,
     ) {
         // Of a job that is over nothing is lost: a new leader only learns so late that its tasks are.
-        if (ledger.jobs.containsKey(claim.job)) ctx.info("task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
+        if (ledger.jobs.containsKey(
+                claim.job,
+            )
+        ) {
+            ctx.often("tasks lost: $reason", "task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
+        }
         ledger.claims.release(claim, lost = true)
         onChange()
     }
@@ -382,7 +393,7 @@
         machine: Machine,
         reason: String,
     ) {
-        ctx.info("machine ${machine.id} is gone: $reason")
+        ctx.often("machines gone: $reason", "machine ${machine.id} is gone: $reason")
         returned += machine.id
         machines.remove(machine.id)
         setStrays(machine, emptySet())
