A gang that can never find room keeps none; its team's limit is kept as machines are

Cause: by reading. Room kept for the oldest waiting gang would be lost for good where even empty machines hold too few of its tasks; and a gang that finds room but not its team's limit would wait behind each single task. Found in tests only, which fail without it.

--- a/src/main/kotlin/burlridge/fleet/Slot.kt
+++ b/src/main/kotlin/burlridge/fleet/Slot.kt
@@ -13,7 +13,7 @@
     fun allows(spec: JobSpec): Boolean =
         (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) && (spec.spot || !spot)
 
-    fun seats(size: Size): Int = Slot(type, zone, spot, free).take(size, MOST_SEATS)
+    fun seats(size: Size): Int = free.holds(size)
 
     /** Takes room for up to [most] tasks of [size]; returns how many found some. */
     fun take(
@@ -27,8 +27,4 @@
         }
         return taken
     }
-
-    private companion object {
-        const val MOST_SEATS = 1000
-    }
 }
--- a/src/main/kotlin/burlridge/intake/JobSpec.kt
+++ b/src/main/kotlin/burlridge/intake/JobSpec.kt
@@ -26,6 +26,15 @@
 ) {
     fun fits(free: Size): Boolean = cpus <= free.cpus + SLACK && gpus <= free.gpus + SLACK && memoryGb <= free.memoryGb + SLACK
 
+    /** How many tasks of [size] it has room for. */
+    fun holds(size: Size): Int {
+        fun part(
+            free: Double,
+            asked: Double,
+        ): Double = if (asked > 0) (free + SLACK) / asked else MANY
+        return minOf(part(cpus, size.cpus), part(gpus, size.gpus), part(memoryGb, size.memoryGb)).toInt().coerceAtLeast(0)
+    }
+
     operator fun minus(other: Size): Size = Size(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
 
     operator fun times(tasks: Int): Size = Size(cpus * tasks, gpus * tasks, memoryGb * tasks)
@@ -34,6 +43,7 @@
 
     internal companion object {
         private const val SLACK = 1e-9
+        private const val MANY = 1e6
         val NONE = Size(0.0, 0.0, 0.0)
     }
 }
--- a/src/main/kotlin/burlridge/placement/Draft.kt
+++ b/src/main/kotlin/burlridge/placement/Draft.kt
@@ -12,18 +12,7 @@
     var free: Size,
 ) {
     /** How many tasks of [size] find room. */
-    fun seats(size: Size): Int {
-        fun part(
-            free: Double,
-            asked: Double,
-        ): Double = if (asked > 0) (free + SLACK) / asked else MANY
-        return minOf(part(free.cpus, size.cpus), part(free.gpus, size.gpus), part(free.memoryGb, size.memoryGb)).toInt().coerceAtLeast(0)
-    }
-
-    private companion object {
-        const val SLACK = 1e-9
-        const val MANY = 1e6
-    }
+    fun seats(size: Size): Int = free.holds(size)
 }
 
 /** The machines with room of one type, zone and kind. */
@@ -31,7 +20,10 @@
     val whole: Size,
     val first: Machine,
     val rooms: ArrayList<Room> = ArrayList(),
-)
+) {
+    /** Its machines, full ones as well. */
+    var machines: Int = 0
+}
 
 /** What a job asks of a machine; where one job found no room, another that asks for no less need not look. */
 internal data class Ask(
--- a/src/main/kotlin/burlridge/placement/GangPlacement.kt
+++ b/src/main/kotlin/burlridge/placement/GangPlacement.kt
@@ -40,9 +40,14 @@
     ) {
         val spec = job.spec
         val after = draft.used(spec.team) + spec.size * spec.tasks
-        if (fit.overLimit(spec.team, after)) return
+        if (fit.overLimit(spec.team, after)) {
+            // Its team's limit is kept for it as well, or single tasks would use each bit that falls free.
+            draft.used[spec.team] = after
+            return
+        }
         val groups = groups(spec, draft)
         for (rooms in groups) {
+            if (seatsIn(rooms, spec) < spec.tasks) continue
             val seats = seat(spec, spec.tasks, rooms)
             if (seats.size == spec.tasks) {
                 draft.used[spec.team] = after
@@ -53,16 +58,37 @@
             }
             seats.forEach { it.free += spec.size }
         }
-        groups.maxByOrNull { rooms -> rooms.sumOf { it.seats(spec.size) } }?.let { seat(spec, spec.tasks, it) }
+        // Not where even empty machines would not do: room kept for what can never come would be lost to all others.
+        groups
+            .filter { rooms -> wholeSeats(spec, draft, rooms) >= spec.tasks }
+            .maxByOrNull { seatsIn(it, spec) }
+            ?.let { seat(spec, spec.tasks, it) }
     }
 
-    /** Room for the gangs that surely come soon is kept from all other work. */
+    /** Room for the gangs that surely come soon is kept from all other work; never more than a part of what there is. */
     fun keepRoom(draft: Draft) {
         for (need in fleet.expectedGangs()) {
-            groups(need.spec, draft).firstOrNull()?.let { seat(need.spec, need.tasks, it) }
+            val rooms = groups(need.spec, draft).firstOrNull() ?: continue
+            val most = wholeSeats(need.spec, draft, rooms) / MOST_KEPT
+            seat(need.spec, minOf(need.tasks, most), rooms)
         }
     }
 
+    private fun seatsIn(
+        rooms: List<Room>,
+        spec: JobSpec,
+    ): Int = rooms.sumOf { it.seats(spec.size) }
+
+    /** How many tasks of [spec] the machines of the group that [rooms] belong to would hold if nothing else were on them. */
+    private fun wholeSeats(
+        spec: JobSpec,
+        draft: Draft,
+        rooms: List<Room>,
+    ): Int {
+        val zone = rooms.firstOrNull()?.machine?.zone ?: return 0
+        return draft.poolsFor(spec).filter { !spec.oneZone || it.first.zone == zone }.sumOf { it.machines * it.whole.holds(spec.size) }
+    }
+
     private fun claim(
         spec: JobSpec,
         task: Int,
@@ -78,13 +104,13 @@
         val rooms = draft.poolsFor(spec).flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
         if (!spec.oneZone) return listOf(rooms)
 
-        fun seats(of: List<Room>) = of.sumOf { it.seats(spec.size) }
         return rooms
             .groupBy { it.machine.zone }
             .values
             .sortedWith(
-                compareByDescending<List<Room>> { zone -> minOf(spec.tasks, seats(zone.filter { spec.image in it.machine.images })) }
-                    .thenByDescending { seats(it) },
+                compareByDescending<List<Room>> { zone ->
+                    minOf(spec.tasks, seatsIn(zone.filter { spec.image in it.machine.images }, spec))
+                }.thenByDescending { seatsIn(it, spec) },
             )
     }
 
@@ -128,5 +154,8 @@
     private companion object {
         /** A fetch takes up to a third longer than its type's rate says, and what goes before it takes some time as well. */
         const val SLOW_FETCH = 1.5
+
+        /** Of the room that there would be on empty machines, one part in so many may be kept for the gangs of a lane. */
+        const val MOST_KEPT = 4
     }
 }
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -40,7 +40,7 @@
         if (queue.isEmpty()) return
         val draft = Draft(pools(), HashMap(ledger.claims.used))
         ctx.count("placement.rounds")
-        if (draft.pools.isEmpty()) return
+        if (draft.pools.all { it.rooms.isEmpty() }) return
         val (early, others) = queue.partition { gangs.isEarly(it) }
         early.forEach { if (!full(draft)) gangs.place(it, draft) }
         gangs.keepRoom(draft)
@@ -72,8 +72,9 @@
             if (!usable(machine)) continue
             val whole = catalog.types[machine.type]?.size ?: continue
             val free = free(machine, whole)
-            if (free.cpus <= 0 || free.memoryGb <= 0) continue
-            pools.getOrPut(Offer(machine.type, machine.zone, machine.spot)) { Pool(whole, machine) }.rooms += Room(machine, whole, free)
+            val pool = pools.getOrPut(Offer(machine.type, machine.zone, machine.spot)) { Pool(whole, machine) }
+            pool.machines++
+            if (free.cpus > 0 && free.memoryGb > 0) pool.rooms += Room(machine, whole, free)
         }
         return pools.values.sortedWith(compareBy({ it.whole.gpus }, { it.whole.cpus }, { it.whole.memoryGb }, { !it.first.spot }))
     }
--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -100,6 +100,31 @@
         assertTrue(small.rules.firstStart("j-000001") in 0.0..280.0, "began at ${small.rules.firstStart("j-000001")}")
     }
 
+    /** Guards everyone else from a gang that fits no zone: the room kept for it would never be used. */
+    @Test
+    fun `a gang that there will never be room for blocks nobody`() {
+        val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
+        small.clock.after(30.0) { small.submit(small.gang(1, 60)) }
+        val others = (0 until 40).map { small.job(100 + it, 3, runS = 5.0, lane = "bulk") }
+        others.forEachIndexed { i, spec -> small.clock.after(31.0 + 2 * i) { small.submit(spec) } }
+        small.run(240.0)
+        assertEquals(emptyList<String>(), small.rules.broken)
+        assertEquals(emptyList<String>(), others.map { it.id }.filterNot { small.rules.finished(it) })
+    }
+
+    /** Guards the team's limit that is kept for a gang: single tasks of its team would use each bit of it. */
+    @Test
+    fun `small work of its team does not keep a gang from the team's limit`() {
+        val tight = World(28, guaranteed = 0.0, types = mapOf("big" to TypeSpec(16.0, 64.0, 4)))
+        repeat(
+            200,
+        ) { i -> tight.clock.after(20.0 + i) { tight.submit(tight.job(100 + i, 4, runS = 12.0, team = "crew-x", lane = "bulk")) } }
+        tight.clock.after(40.0) { tight.submit(tight.gang(1, 40, team = "crew-x")) }
+        tight.run(290.0)
+        assertEquals(emptyList<String>(), tight.rules.broken)
+        assertTrue(tight.rules.firstStart("j-000001") in 0.0..280.0, "began at ${tight.rules.firstStart("j-000001")}")
+    }
+
     /** Guards the claim of a gang in several rows: what the dead leader had claimed in part must not begin, nor block. */
     @Test
     fun `a leader dies between the rows of a gang`() {
