Joint stops in tests; requests to the state service counted by urgency

A gang with a machine that is taken back saves together; the leader dies meanwhile; a machine dies meanwhile; one out of reach, and it is not told. Who spends the state service's requests now stands in the metrics line.

--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -82,6 +82,7 @@
     // Users come in bursts, and hardly to all members in the same second: each may use more than its part for a moment.
     private val writes = Bucket(settings.store.writeRps / BURST_PART)
     private val requests = Bucket(settings.store.rps / BURST_PART)
+    private val counters = Urgency.entries.associateWith { "store.requests.${it.name.lowercase()}" }
     private val queues = Urgency.entries.associateWith { ArrayDeque<Waiting>() }
     private var leads = false
     private var lastServedAt = 0.0
@@ -94,6 +95,7 @@
         val patienceS: Double,
         val send: () -> Unit,
         val drop: () -> Unit,
+        val counter: String,
     )
 
     /** Whether the state service has lately answered this member with anything but a refusal. */
@@ -341,7 +343,7 @@
         drop: () -> Unit,
         send: () -> Unit,
     ) {
-        queues.getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop))
+        queues.getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop, counters.getValue(urgency)))
         pump()
     }
 
@@ -364,6 +366,7 @@
                 }
                 if (!requests.take(1.0)) return
                 queue.removeFirst()
+                ctx.count(next.counter)
                 next.send()
             }
         }
--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -125,6 +125,58 @@
         assertTrue(tight.rules.firstStart("j-000001") in 0.0..280.0, "began at ${tight.rules.firstStart("j-000001")}")
     }
 
+    /** A gang of several machines runs, and one of them gets a notice at 45 s. */
+    private fun recalled() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 40.0, spot = true)) }
+        at(45.0) { machinesOf("j-000001", 20).firstOrNull()?.let { world.cloud.worker(it)?.recall(15.0) } }
+    }
+
+    /** Guards the order to stop that all hear at once: told by reports one after the other they would not save in time. */
+    @Test
+    fun `a gang with a machine that is taken back saves together and goes on from there`() {
+        recalled()
+        world.run(140.0)
+        verdict("j-000001")
+        assertEquals(listOf(1, 2), begun("j-000001"))
+        val progress = world.hall.progress("j-000001")
+        assertTrue(progress > 15.0 && progress % 5.0 != 0.0, "only a checkpoint was left: $progress")
+    }
+
+    @Test
+    fun `a leader dies while a gang saves`() {
+        recalled()
+        var stops = 0
+        world.meddle = { from, call ->
+            if (call.path == "/do" && "halt" in call.body.orEmpty() && stops++ == 1) at(0.0) { world.crash(from, 1.0) }
+            Fate.FINE
+        }
+        world.run(160.0)
+        verdict("j-000001")
+        assertTrue(stops > 1)
+    }
+
+    @Test
+    fun `a machine dies while a gang saves`() {
+        recalled()
+        at(46.5) { machinesOf("j-000001", 20).lastOrNull()?.let { world.cloud.worker(it)?.kill() } }
+        world.run(160.0)
+        verdict("j-000001")
+        assertEquals(listOf(1, 2), begun("j-000001"))
+    }
+
+    /** Guards the check before a stop: one task that cannot be told makes the save fail for all. */
+    @Test
+    fun `a gang with a machine out of reach is not told to save`() {
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 40.0, spot = true)) }
+        at(38.5) { machinesOf("j-000001", 20).lastOrNull()?.let { m -> world.members.forEach { world.cut(m, it, 20.0) } } }
+        at(45.0) { machinesOf("j-000001", 20).firstOrNull()?.let { world.cloud.worker(it)?.recall(15.0) } }
+        world.run(60.0)
+        val stopped = world.log.count { "is stopped: the cloud takes" in it }
+        world.run(200.0)
+        verdict("j-000001")
+        assertEquals(0, stopped, world.log.filter { "lost on" in it || "is stopped" in it || "silent" in it }.joinToString("\n"))
+    }
+
     /** Guards the claim of a gang in several rows: what the dead leader had claimed in part must not begin, nor block. */
     @Test
     fun `a leader dies between the rows of a gang`() {
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -66,6 +66,15 @@
         changed = true
     }
 
+    private var recalledAt: Double? = null
+
+    /** The cloud takes the machine back after [seconds], and says so. */
+    fun recall(seconds: Double) {
+        recalledAt = world.clock.now + seconds
+        changed = true
+        world.clock.after(seconds) { world.cloud.take(id) }
+    }
+
     fun has(piece: String): Boolean = tasks.values.any { it.piece == piece && it.standing != "exited" }
 
     fun kill() {
@@ -108,6 +117,7 @@
             put("stint", session)
             put("tally", ++tally)
             put("baton", token)
+            recalledAt?.let { put("recallS", it - world.clock.now) }
             val list = putArray("pieces")
             tasks.values.forEach { t ->
                 list.addObject().put("piece", t.piece).put("try", t.run).put("standing", t.standing).also { o ->
