Tests that their guards' absence breaks: room and limit kept for a gang, marks that do not fit

Three of the guards could be taken out unnoticed: the load of the tests left room enough, and a transaction too large was stopped a second time.

--- a/src/test/kotlin/burlridge/intent/LimitsTest.kt
+++ b/src/test/kotlin/burlridge/intent/LimitsTest.kt
@@ -4,6 +4,7 @@
 import burlridge.app.Effect
 import burlridge.app.Input
 import burlridge.app.Json
+import burlridge.app.Level
 import burlridge.app.Outcome
 import burlridge.app.Rehearsal
 import burlridge.app.Settings
@@ -37,6 +38,8 @@
     private val leadership = Leadership(ctx, store, nobody)
     private val ledger = Ledger(ctx, store, leadership)
 
+    private val errors = ArrayList<String>()
+
     /** Lets [seconds] pass, with the state service answering at once. */
     private fun pass(seconds: Double) {
         repeat((seconds * 10).toInt()) {
@@ -53,7 +56,9 @@
     private fun answer() {
         val calls = ArrayDeque(ctx.finish())
         while (calls.isNotEmpty()) {
-            val call = calls.removeFirst() as? Effect.Call ?: continue
+            val effect = calls.removeFirst()
+            if (effect is Effect.Log && effect.level == Level.ERROR) errors += effect.text
+            val call = effect as? Effect.Call ?: continue
             state.handle(call.method, call.path, call.body.orEmpty()) { status, body ->
                 ctx.called(Input.CallDone(call.call, Outcome.Answered(status, body)))
             }
@@ -107,6 +112,7 @@
         assertEquals(listOf("over/j-1"), state.keys("over/"))
         assertEquals(emptyList<String>(), state.keys("prog/") + state.keys("live/"))
         assertEquals(0, state.refusedAsTooLarge)
+        assertEquals(emptyList<String>(), errors)
     }
 
     /** Guards progress rows that a leader has not removed before it died: nobody else would. */
@@ -118,6 +124,7 @@
         pass(10.0)
         assertEquals(emptyList<String>(), state.keys("prog/"))
         assertEquals(0, state.refusedAsTooLarge)
+        assertEquals(emptyList<String>(), errors)
     }
 
     /** Guards rows of 8 KiB that production left: marking a loss in one would be refused for ever. */
@@ -153,6 +160,7 @@
         pass(20.0)
         assertEquals(emptyList<String>(), state.keys("round/"))
         assertEquals(0, state.refusedAsTooLarge)
+        assertEquals(emptyList<String>(), errors)
     }
 
     private object JobSpecLimits {
--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -93,19 +93,19 @@
     @Test
     fun `small work passing by does not starve a large gang`() {
         val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
-        repeat(300) { i -> small.clock.after(20.0 + 0.7 * i) { small.submit(small.job(100 + i, 3, runS = 12.0, lane = "bulk")) } }
+        repeat(300) { i -> small.clock.after(20.0 + 0.7 * i) { small.submit(small.job(100 + i, 7, runS = 12.0, lane = "bulk")) } }
         small.clock.after(40.0) { small.submit(small.gang(1, 16)) }
-        small.run(290.0)
+        small.run(220.0)
         assertEquals(emptyList<String>(), small.rules.broken)
-        assertTrue(small.rules.firstStart("j-000001") in 0.0..280.0, "began at ${small.rules.firstStart("j-000001")}")
+        assertTrue(small.rules.firstStart("j-000001") in 0.0..200.0, "began at ${small.rules.firstStart("j-000001")}")
     }
 
     /** Guards everyone else from a gang that fits no zone: the room kept for it would never be used. */
     @Test
     fun `a gang that there will never be room for blocks nobody`() {
         val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
-        small.clock.after(30.0) { small.submit(small.gang(1, 60)) }
-        val others = (0 until 40).map { small.job(100 + it, 3, runS = 5.0, lane = "bulk") }
+        small.clock.after(30.0) { small.submit(small.gang(1, 60).copy(zone = "a")) }
+        val others = (0 until 40).map { small.job(100 + it, 3, runS = 5.0, lane = "bulk", zone = "a", spot = false) }
         others.forEachIndexed { i, spec -> small.clock.after(31.0 + 2 * i) { small.submit(spec) } }
         small.run(240.0)
         assertEquals(emptyList<String>(), small.rules.broken)
@@ -120,9 +120,9 @@
             200,
         ) { i -> tight.clock.after(20.0 + i) { tight.submit(tight.job(100 + i, 4, runS = 12.0, team = "crew-x", lane = "bulk")) } }
         tight.clock.after(40.0) { tight.submit(tight.gang(1, 40, team = "crew-x")) }
-        tight.run(290.0)
+        tight.run(215.0)
         assertEquals(emptyList<String>(), tight.rules.broken)
-        assertTrue(tight.rules.firstStart("j-000001") in 0.0..280.0, "began at ${tight.rules.firstStart("j-000001")}")
+        assertTrue(tight.rules.firstStart("j-000001") in 0.0..200.0, "began at ${tight.rules.firstStart("j-000001")}")
     }
 
     /** A gang of several machines runs, and one of them gets a notice at 45 s. */
