Members watch the leader's row: a leader gone is followed sooner, and by an upgraded member

Members of the version before look at the row every sixth of its lease; watching it, this version's look first. A start that did not leave after its gang was over has a test; a leader that dies between rows now has time to send what it must not.

--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -52,6 +52,9 @@
     private var renewing = false
     private var campaigning = false
     private var nextPollAt = 0.0
+
+    /** The stamp of the leader's row that is being watched; 0 for none. */
+    private var watched = 0L
     private var highestTerm = 0L
     private val silentPeers = HashSet<String>()
 
@@ -143,6 +146,7 @@
                                 .path("term")
                                 .asLong(),
                         )
+                        watch(read.value.stamp)
                     }
                 }
 
@@ -157,6 +161,22 @@
         }
     }
 
+    /**
+     * Looks as soon as the leader's row changes, instead of at the next turn: a leader that is gone is followed sooner, and during an
+     * upgrade by a member of this version, which will not be replaced any more. Each looks a moment later than the next, so that
+     * one campaigns and the others find its row.
+     */
+    private fun watch(stamp: Long) {
+        if (watched == stamp) return
+        watched = stamp
+        store.follow(LEADER, stamp, ttlS * WATCH_TTLS) { status, body ->
+            if (watched != stamp) return@follow
+            watched = 0
+            val changed = status == OK && body != null && body.path("events").size() > 0
+            if (changed && !leading) nextPollAt = minOf(nextPollAt, ctx.now + ttlS / WATCH_SPREAD * ctx.random.nextDouble())
+        }
+    }
+
     private fun campaign(leaderStamp: Long) {
         campaigning = true
         store.get(TERM, Urgency.LEADERSHIP) { read ->
@@ -281,6 +301,11 @@
         /** Twice the drift that the protocol allows between two steady clocks. */
         const val DRIFT = 0.001
         const val MARGIN_S = 0.05
+        private const val OK = 200
+
+        /** How long one watch of the leader's row stays open, and within which part of its lease all look after a change. */
+        private const val WATCH_TTLS = 3
+        private const val WATCH_SPREAD = 24
 
         /** The times of day of two members differ by far less than the bound for which a leader that was is remembered. */
         const val HISTORY_BOUNDS = 2
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -234,7 +234,15 @@
                     maxOf(before, Phase.FETCHING)
                 }
             }
-        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) claim.startedAt = ctx.now
+        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) {
+            claim.startedAt = ctx.now
+            val job = ledger.jobs[claim.job]
+            if (claim.task == 0 && job?.spec?.gang == true) {
+                ctx.debug(
+                    "gang ${job.spec.id} run ${claim.run} is seen to run ${(ctx.wallMs - job.submittedMs) / 1000.0} s after its submission",
+                )
+            }
+        }
         if (claim.phase >= Phase.GATHERING && before < Phase.GATHERING) ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
     }
 
--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -60,6 +60,13 @@
         world.run(140.0)
         verdict("j-000001")
         assertEquals(listOf(2), begun("j-000001"))
+        // Those that gather are stopped at once, long before they give up by themselves.
+        assertTrue(
+            world.hall.begun
+                .single()
+                .third < 25.0 + world.gangWaitS,
+            "begun at ${world.hall.begun}",
+        )
     }
 
     /** A command of unknown outcome: the others wait in vain, and the late start must not count for the next attempt. */
@@ -184,11 +191,28 @@
         for (rowsBefore in 0..3) {
             val other = World(24 + rowsBefore, guaranteed = 0.0, next = limits, types = mapOf("big" to TypeSpec(16.0, 64.0, 3)))
             var rows = 0
+            var stuck = true
+            // From one row on none gets through, until the leader has had time to send what it should not, and dies.
             other.meddle = { from, call ->
-                if (call.path == "/multi" && "\"set\":\"round/" in call.body.orEmpty() && rows++ == rowsBefore) {
-                    other.clock.after(0.0) { other.crash(from, 1.0) }
+                when {
+                    call.path != "/multi" || "\"set\":\"round/" !in call.body.orEmpty() -> {
+                        Fate.FINE
+                    }
+
+                    rows++ < rowsBefore || !stuck -> {
+                        Fate.FINE
+                    }
+
+                    else -> {
+                        if (rows == rowsBefore + 1) {
+                            other.clock.after(3.0) {
+                                stuck = false
+                                other.crash(from, 1.0)
+                            }
+                        }
+                        Fate.REFUSED
+                    }
                 }
-                Fate.FINE
             }
             other.clock.after(25.0) { other.submit(other.gang(1, 32)) }
             other.run(140.0)
@@ -199,6 +223,29 @@
         }
     }
 
+    /** Guards a start that turns out not to have left after its gang's attempt was over: it was neither sent nor taken back. */
+    @Test
+    fun `a start that did not leave is taken back when its gang is gone meanwhile`() {
+        var met = false
+        world.meddle = { from, call ->
+            if (!met && call.path == "/do" && "run" in call.body.orEmpty()) {
+                met = true
+                // This command goes through; another one's connection is not made, and its machine is well a moment later.
+                val first = world.cloud.workerAt(call.target.toString())?.id
+                world.cloud
+                    .names()
+                    .filter { it != first }
+                    .forEach { world.cut(from, it, 1.15) }
+                at(0.1) { first?.let { world.cloud.worker(it)?.restart() } }
+            }
+            Fate.FINE
+        }
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0)) }
+        world.run(100.0)
+        verdict("j-000001")
+        assertTrue(met)
+    }
+
     @Test
     fun `a leader dies between the commands of a gang`() {
         var commands = 0
