--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -39,7 +39,9 @@
     override fun help(context: Context) = "Read the settings, say what is wrong with them, and stop."
 
     override fun run() {
-        echo("settings of ${read(config, settings).member} are fine")
+        val read = read(config, settings)
+        val gangs = if (read.workers.gang == null) "no gangs are served" else "gangs are served once all members know them"
+        echo("settings of ${read.member} are fine: ${read.controllers} members; $gangs; at most ${read.store.valueBytes} bytes a value")
     }
 }
 
--- a/src/main/kotlin/burlridge/app/OperatorSettings.kt
+++ b/src/main/kotlin/burlridge/app/OperatorSettings.kt
@@ -14,6 +14,8 @@
     val idleReports: Double = 20.0,
     /** Room kept free for lanes with a wait aim, in jobs of the usual size. */
     val headroom: Double = 1.5,
+    /** Room kept free for gangs that are likely to come, in standard deviations above their mean. */
+    val gangDeviations: Double = 2.0,
     /** The leader's lease, in report intervals. */
     val leaseReports: Double = 0.75,
 ) {
@@ -21,7 +23,7 @@
         private val KEYS =
             mapOf(
                 "placement" to setOf("sample"),
-                "fleet" to setOf("idle_reports", "headroom"),
+                "fleet" to setOf("idle_reports", "headroom", "gang_deviations"),
                 "leadership" to setOf("lease_reports"),
             )
 
@@ -41,6 +43,7 @@
                 sample = ini.number("placement", "sample", usual.sample.toDouble(), 1.0..1000.0).toInt(),
                 idleReports = ini.number("fleet", "idle_reports", usual.idleReports, 1.0..1000.0),
                 headroom = ini.number("fleet", "headroom", usual.headroom, 0.0..10.0),
+                gangDeviations = ini.number("fleet", "gang_deviations", usual.gangDeviations, 0.0..10.0),
                 leaseReports = ini.number("leadership", "lease_reports", usual.leaseReports, 0.4..3.0),
             )
         }
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -34,6 +34,8 @@
     /** Takes note of the jobs there are, so that what comes can be guessed from what came. */
     fun observe() {
         ledger.jobs.values.forEach { if (it.ending == null && seen.add(it.spec.id)) remember(it) }
+        // A job that is over does not come again.
+        if (seen.size > MOST_SEEN && seen.size > ledger.jobs.size * 2) seen.retainAll(ledger.jobs.keys)
     }
 
     fun wanted(types: Catalog): List<Need> {
@@ -114,7 +116,7 @@
                             .spec.estimateS
                             .coerceAtLeast(1.0),
                 ) / 2
-        val likely = tasks * (jobs + Math.sqrt(jobs) * SURE_DEVIATIONS) - leaving
+        val likely = tasks * (jobs + Math.sqrt(jobs) * ctx.settings.operator.gangDeviations) - leaving
         return Math.ceil(maxOf(likely, list.maxOf { it.spec.tasks }.toDouble())).toInt()
     }
 
@@ -161,13 +163,13 @@
 
     private companion object {
         const val REMEMBERED = 10
+        const val MOST_SEEN = 1000
         const val DRY_GAPS = 8
         const val BET_MACHINES = 2
 
         /** Boots take up to half as long again as their type's figure. */
         const val LONG_BOOT = 1.5
         const val SOON_REPORTS = 4
-        const val SURE_DEVIATIONS = 2.0
         const val MS_A_S = 1000
 
         /** Estimates are often wrong by half. */
--- a/src/main/kotlin/burlridge/intent/Claims.kt
+++ b/src/main/kotlin/burlridge/intent/Claims.kt
@@ -36,12 +36,15 @@
         private set
 
     /** Starts and jobs that one row and its transaction's conditions hold; fewer once a row has turned out too large. */
-    var mostStarts: Int = (ctx.settings.store.valueBytes / BYTES_A_START).coerceAtLeast(1)
+    var mostStarts: Int = 1
         private set
-    var mostJobs: Int =
-        minOf(ctx.settings.store.txnOps * Store.CONDITIONS_AN_OP - 2, ctx.settings.store.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
+    var mostJobs: Int = 1
         private set
 
+    init {
+        clear()
+    }
+
     fun usedOn(machine: String): Size = usedOn[machine] ?: Size.NONE
 
     fun clear() {
@@ -52,6 +55,9 @@
         spare.clear()
         nextRound = 0
         claiming = 0
+        val limits = ctx.settings.store
+        mostStarts = (limits.valueBytes / BYTES_A_START).coerceAtLeast(1)
+        mostJobs = minOf(limits.txnOps * Store.CONDITIONS_AN_OP - 2, limits.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
     }
 
     /**
--- a/src/test/kotlin/burlridge/app/SettingsTest.kt
+++ b/src/test/kotlin/burlridge/app/SettingsTest.kt
@@ -24,6 +24,24 @@
         assertEquals("the settings are not a JSON object", complaint("[]"))
     }
 
+    @Test
+    fun `of the state service's present limits and those to come the smaller bind`() {
+        val next = good.replace("\"txn_ops\":8", "\"txn_ops\":8,\"next\":{\"value_kb\":2.0,\"txn_ops\":4,\"write_rps\":99.0}")
+        assertEquals(StoreLimits(100.0, 25.0, 2048, 4), Settings.parse(next).store)
+        assertEquals(StoreLimits(100.0, 25.0, 8192, 8), Settings.parse(good).store)
+        assertEquals("params.state.next must be an object", complaint(next.replace(Regex("\\{\"value_kb[^}]*}"), "7")))
+        assertEquals("params.state.next.txn_ops must be a number above 0", complaint(next.replace("\"txn_ops\":4", "\"txn_ops\":\"4\"")))
+    }
+
+    @Test
+    fun `gang times come together or not at all`() {
+        val both = good.replace("\"lease_s\":24.0", "\"lease_s\":24.0,\"gang_wait_s\":50.0,\"gang_peer_s\":5.0")
+        assertEquals(GangTimes(50.0, 5.0), Settings.parse(both).workers.gang)
+        assertEquals(null, Settings.parse(good).workers.gang)
+        assertEquals("params.workers.gang_peer_s is missing", complaint(both.replace(",\"gang_peer_s\":5.0", "")))
+        assertEquals("params.workers.gang_wait_s must be a number above 0", complaint(both.replace("50.0", "0")))
+    }
+
     @Test
     fun `operators' settings refuse unknown keys and figures out of range`() {
         assertEquals(7, OperatorSettings.parse("[placement]\nsample = 7\n").sample)
--- a/src/test/kotlin/burlridge/intake/JobSpecTest.kt
+++ b/src/test/kotlin/burlridge/intake/JobSpecTest.kt
@@ -2,6 +2,7 @@
 
 import burlridge.app.Json
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
 
@@ -26,6 +27,14 @@
         assertEquals(spec.fingerprint, JobSpec.parse(spec.encode()).fingerprint)
     }
 
+    @Test
+    fun `a gang is read, written and read again alike, and is not taken for an array`() {
+        val spec = JobSpec.parse(Json.parse(good.replace("\"array\"", "\"ensemble\"")))
+        assertEquals(true, spec.gang)
+        assertEquals(spec, JobSpec.parse(spec.encode()))
+        assertNotEquals(JobSpec.parse(Json.parse(good)).fingerprint, spec.fingerprint)
+    }
+
     @Test
     fun `what is malformed is refused with a reason`() {
         assertEquals("id must look like j-000412", complaint("j-000412", "x/../y"))
