--- a/src/test/kotlin/burlridge/sim/Troubles.kt
+++ b/src/test/kotlin/burlridge/sim/Troubles.kt
@@ -15,12 +15,17 @@
         until: Double,
     ) {
         world.lossy = 0.02
+        world.holds = luck.nextBoolean()
+        if (luck.nextInt(3) == 0) world.copyAfter = { if (luck.nextInt(4) == 0) 2.0 + luck.nextDouble() * 60 else null }
         repeat(count) { world.clock.after(from + luck.nextDouble() * (until - from)) { one() } }
-        world.clock.after(until + 30.0) { world.lossy = 0.0 }
+        world.clock.after(until + 30.0) {
+            world.lossy = 0.0
+            world.copyAfter = { null }
+        }
     }
 
     private fun one() {
-        when (luck.nextInt(9)) {
+        when (luck.nextInt(11)) {
             0 -> {
                 world.leader()?.let { world.crash(it, luck.nextDouble() * 8) }
             }
@@ -62,6 +67,18 @@
                 world.leader()?.let { world.freeze(it, luck.nextDouble() * 12) }
             }
 
+            8 -> {
+                world.cloud
+                    .names()
+                    .filter { world.cloud.worker(it)?.spot == true }
+                    .take(3)
+                    .forEach { world.cloud.worker(it)?.recall(5 + luck.nextDouble() * 15) }
+            }
+
+            9 -> {
+                world.members.forEach { a -> world.members.forEach { b -> if (a != b) world.cut(a, b, 5 + luck.nextDouble() * 20) } }
+            }
+
             else -> {
                 world.cloud.down = true
                 world.clock.after(20.0) { world.cloud.down = false }
