--- a/src/test/kotlin/burlridge/sim/WholeServiceTest.kt
+++ b/src/test/kotlin/burlridge/sim/WholeServiceTest.kt
@@ -3,7 +3,6 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import kotlin.random.Random
 
 /** The whole service in virtual time. Every test ends by asking the checker of rules. */
 internal class WholeServiceTest {
@@ -45,12 +44,7 @@
         for (seed in (System.getProperty("from")?.toInt() ?: 1)..days) {
             val world = World(seed)
             val jobs = world.load(30)
-            val luck = Random(seed)
-            world.lossy = 0.02
-            repeat(10) {
-                world.clock.after(20 + luck.nextDouble() * 120) { world.trouble(luck) }
-            }
-            world.clock.after(170.0) { world.lossy = 0.0 }
+            Troubles(world, seed).draw(10, 20.0, 140.0)
             world.run(400.0)
             try {
                 world.verdict(jobs)
@@ -62,37 +56,4 @@
             }
         }
     }
-
-    private fun World.trouble(luck: Random) {
-        when (luck.nextInt(7)) {
-            0 -> {
-                leader()?.let { crash(it, luck.nextDouble() * 8) }
-            }
-
-            1 -> {
-                members.forEach { crash(it, 1 + luck.nextDouble() * 5) }
-            }
-
-            2 -> {
-                state.outage(luck.nextDouble() * 25)
-            }
-
-            3 -> {
-                leader()?.let { cut(it, "state", 10 + luck.nextDouble() * 20) }
-            }
-
-            4 -> {
-                cloud.names().take(3).forEach { cloud.take(it) }
-            }
-
-            5 -> {
-                cloud.names().takeLast(4).forEach { m -> members.forEach { cut(it, m, 5 + luck.nextDouble() * 40) } }
-            }
-
-            else -> {
-                cloud.down = true
-                clock.after(20.0) { cloud.down = false }
-            }
-        }
-    }
 }
