--- a/src/main/kotlin/burlridge/placement/Draft.kt
+++ b/src/main/kotlin/burlridge/placement/Draft.kt
@@ -50,9 +50,6 @@
     /** The pools whose machines [spec] may use and that are large enough. */
     fun poolsFor(spec: JobSpec): List<Pool> = pools.filter { spec.size.fits(it.whole) && allows(spec, it.first) }
 
-    /** Those of them that have any room. */
-    fun openPoolsFor(spec: JobSpec): List<Pool> = poolsFor(spec).filter { it.rooms.isNotEmpty() }
-
     private fun allows(
         spec: JobSpec,
         machine: Machine,
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -158,7 +158,7 @@
         val zones = HashMap<String, Int>()
         if (spec.oneZone || spec.spread) job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
         var task = next(job, 0)
-        val pools = draft.openPoolsFor(spec)
+        val pools = draft.poolsFor(spec)
         // The design samples blindly; where time presses, a fetch is too much of it while another machine holds the image.
         if (presses(spec, pools)) {
             val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && spec.size.fits(it.free) } }
