--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -309,6 +309,18 @@
         verdict(*Array(6) { "j-%06d".format(it) })
     }
 
+    /** Guards the reading of reports: a word that is not known is no end, and no crash. */
+    @Test
+    fun `states and causes that are not known are taken for no end`() {
+        world.word = { mapOf("gathering" to "assembling", "fetching" to "pulling", "peers" to "bereft")[it] ?: it }
+        at(25.0) { world.submit(world.gang(1, 20, cpus = 2.0, runS = 30.0)) }
+        at(45.0) { machinesOf("j-000001", 20).firstOrNull()?.let { world.cloud.worker(it)?.restart() } }
+        world.run(160.0)
+        verdict("j-000001")
+        assertEquals(listOf(1, 2), begun("j-000001"))
+        assertTrue(world.log.any { "a state that is not known: assembling" in it })
+    }
+
     /** More luck on demand: `mvn test -Dluck=300`. */
     @Test
     fun `whatever fails, gangs keep the rules and end`() {
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -120,8 +120,8 @@
             recalledAt?.let { put("recallS", it - world.clock.now) }
             val list = putArray("pieces")
             tasks.values.forEach { t ->
-                list.addObject().put("piece", t.piece).put("try", t.run).put("standing", t.standing).also { o ->
-                    t.cause?.let { o.put("cause", it) }
+                list.addObject().put("piece", t.piece).put("try", t.run).put("standing", world.word(t.standing)).also { o ->
+                    t.cause?.let { o.put("cause", world.word(it)) }
                     if (t.kept) o.put("kept", true)
                 }
             }
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -64,6 +64,9 @@
     /** Whether a cut holds back what is sent across it, to be delivered in the end, long given up. */
     var holds = false
 
+    /** What a worker calls a state or a cause; a later version may have words of its own. */
+    var word: (String) -> String = { it }
+
     /** How late a further copy of a report comes, to any member; null where none does. */
     var copyAfter: (machine: String) -> Double? = { null }
     var calls = 0
