Five faults where two troubles meet: lost answers, unread rows, mute machines, restarted members

- A transaction's answer alone lost: the leader went on saying `running` of a job whose end other members already read and told (went_back).
Only a leader that knows what was cancelled renews leases (GapTest).
- A machine that reaches no controller while commands reach it began a new session unheard; what was started there was taken for gone when the lease of the session before lapsed (ran_twice).
- A member back within a fraction of a second numbered its questions from 1 again, and took a reply that its former self had asked for: told of another job (went_back).
- Progress written late undid newer progress: it now stands under its row's stamp.
Reads no longer wait behind writes that the budget holds up.
Stops of a cancelled job leave with the wish, and from an answering leader during an outage too.
A leader hears of a later term from any member, not only from that leader.

The checker of rules compares an answer with what had been told when it was asked for, since questions now overlap; a second 201 and a final answer that contradicts another count as breaches whenever they were asked. That is as strict for questions asked one after another.

--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -28,7 +28,7 @@
     private val fleet = Fleet(ctx, store, leadership, ledger, workers)
     private val placement = Placement(ctx, ledger, workers, fleet)
     private val versions = Versions(ctx, store)
-    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers, versions) { placeSoon() }
+    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers, versions, { placeSoon() }, workers::stop)
     val work: Map<String, Long> get() = ctx.work
     val leads: Boolean get() = leadership.standing && intake.loaded
     private val relay = Relay(ctx, peers)
@@ -131,8 +131,11 @@
         then: (Answer) -> Unit,
     ) {
         when {
-            leadership.answering -> then(workers.beat(body, from))
+            // Before it has read the rows a leader does not know what was cancelled: an answer without a halt would keep it alive.
+            leadership.answering && workers.loaded -> then(workers.beat(body, from))
+
             leadership.leading || from != null -> then(Answer.unavailable("leadership in doubt"))
+
             else -> relay.beat(body, leadership.knownLeader?.takeIf { it != settings.member }, then)
         }
     }
--- a/src/main/kotlin/burlridge/fleet/Rentals.kt
+++ b/src/main/kotlin/burlridge/fleet/Rentals.kt
@@ -95,7 +95,7 @@
         store.ensure(
             Txn(listOf(leadership.condition()), listOf(Op.Delete("rental/${rental.step}"))),
             Urgency.CLEANUP,
-            { leadership.leading },
+            leadership.stillMine(leadership.term),
         ) {
             rentals.remove(rental.step)
         }
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -30,6 +30,7 @@
     private val peers: Peers,
     private val versions: Versions,
     private val onAccepted: () -> Unit,
+    private val onWithdrawn: (Job) -> Unit,
 ) {
     /** Set once a new leader has read all rows. */
     var loaded: Boolean = false
@@ -131,6 +132,7 @@
                 return
             }
         known(spec)?.let { return then(it) }
+        if (undecided(spec.id)) return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("its end is being written"), then)
         val types =
             fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
         val never = verdict.neverRuns(spec, types)
@@ -140,11 +142,17 @@
 
     private fun known(spec: JobSpec): Answer? {
         ledger.end(spec.id)?.let { return if (it.fingerprint == spec.fingerprint) told(spec.id, it.standing) else changed(spec.id) }
-        if (!decides) return null
+        if (!decides || undecided(spec.id)) return null
         val job = ledger.jobs[spec.id] ?: return null
         return if (job.spec.fingerprint == spec.fingerprint) told(spec.id, job.standing) else changed(spec.id)
     }
 
+    /**
+     * Whether the end of [id] may be durable without this leader knowing: other members may read it and tell it, so until it is
+     * settled this one goes by the rows as well.
+     */
+    private fun undecided(id: String): Boolean = ledger.jobs[id]?.inDoubt == true
+
     private fun changed(id: String) = Answer.error(409, "$id has been submitted with another description")
 
     private fun refuseUnlessKnown(
@@ -230,7 +238,7 @@
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
         local(id)?.let { return then(it) }
         val leader = if (leadership.leading) peers.served() else leadership.knownLeader ?: peers.served()
-        if (passedOn || leader == null || leader == ctx.settings.member) return queryRows(id, then)
+        if (passedOn || leader == null || leader == ctx.settings.member || (decides && undecided(id))) return queryRows(id, then)
         peers.ask(leader, "GET", "/api/jobs/$id", "", ASK_S) { answer ->
             if (answer != null && answer.status != 503) {
                 noteEnd(id, answer)
@@ -262,7 +270,7 @@
     private fun local(id: String): Answer? {
         ledger.end(id)?.let { return Answer(200, ended(id, it)) }
         val job = ledger.jobs[id] ?: return null
-        return if (decides) Answer(200, progress(job)) else null
+        return if (decides && !job.inDoubt) Answer(200, progress(job)) else null
     }
 
     private fun queryRows(
@@ -273,7 +281,7 @@
             when (found) {
                 null -> then(Answer.unavailable("the state service does not answer"))
                 is Found.Nothing -> then(Answer.error(404, "no such job"))
-                is Found.Live -> then(local(id) ?: Answer(200, standing(id, Standing.QUEUED)))
+                is Found.Live -> then(local(id) ?: Answer(200, ledger.jobs[id]?.let(::progress) ?: standing(id, Standing.QUEUED)))
                 is Found.Over -> then(Answer(200, ended(id, found.end)))
             }
         }
@@ -356,6 +364,7 @@
             }
         }
         ledger.finish(job, Standing.WITHDRAWN)
+        onWithdrawn(job)
     }
 
     // --- bodies
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -27,8 +27,8 @@
     /** Done or claimed: what no placement round need look at. */
     val taken: BitSet = BitSet()
 
-    /** Keys of the progress rows there are, or may be. */
-    val progress: LinkedHashSet<String> = LinkedHashSet()
+    /** Keys of the progress rows there are, or may be, with the stamp of each; 0 for one not yet written. */
+    val progress: LinkedHashMap<String, Long> = LinkedHashMap()
     val claims: Int2ObjectOpenHashMap<Claim> = Int2ObjectOpenHashMap()
     val lastRun: Int2IntOpenHashMap = Int2IntOpenHashMap()
 
@@ -49,6 +49,9 @@
     var ending: Standing? = null
     var over: Standing? = null
 
+    /** Its end may have been written without our knowing: until that is settled only the rows can say whether it is over. */
+    var inDoubt: Boolean = false
+
     val standing: Standing
         get() = over ?: if (running > 0) Standing.RUNNING else Standing.QUEUED
 
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -7,6 +7,7 @@
 import burlridge.leadership.Leadership
 import burlridge.store.Condition
 import burlridge.store.Op
+import burlridge.store.Read
 import burlridge.store.Row
 import burlridge.store.Store
 import burlridge.store.Txn
@@ -98,7 +99,7 @@
         job.done.or(done)
         job.taken.or(done)
         job.durable.or(done)
-        job.progress += row.key
+        job.progress[row.key] = row.stamp
     }
 
     fun markDone(
@@ -130,17 +131,17 @@
                 put("n", job.spec.tasks)
             }
         // Progress rows that this transaction has no room for are removed afterwards, or by a later leader that finds them.
-        val removed = job.progress.take((ctx.settings.store.txnOps - 2).coerceAtLeast(0))
+        val removed = job.progress.keys.take((ctx.settings.store.txnOps - 2).coerceAtLeast(0))
         val txn =
             Txn(
                 listOf(fence(), Condition("live/$id", job.stamp), Condition("over/$id", 0)),
                 listOf(Op.Delete("live/$id"), Op.Put("over/$id", row)) + removed.map { Op.Delete(it) },
             )
         val urgency = if (standing == Standing.DONE) Urgency.FINISH else Urgency.USER
-        store.ensure(txn, urgency, stillMine(leadership.term)) { result ->
+        store.ensure(txn, urgency, stillMine(leadership.term), { job.inDoubt = it }) { result ->
             when (result) {
                 is TxnResult.Done -> {
-                    job.progress -= removed.toSet()
+                    job.progress -= removed
                     ended(job, standing)
                 }
 
@@ -154,6 +155,7 @@
 
                 else -> {
                     job.ending = null
+                    job.inDoubt = false
                 }
             }
         }
@@ -164,7 +166,7 @@
         val term = leadership.term
         store.get("over/${job.spec.id}", Urgency.FINISH) { read ->
             if (!stillMine(term)()) return@get
-            val end = (read as? burlridge.store.Read.Found)?.value?.value?.let { learnEnd(job.spec.id, it) }
+            val end = (read as? Read.Found)?.value?.value?.let { learnEnd(job.spec.id, it) }
             if (end != null) ended(job, end.standing) else ctx.later(1.0) { if (stillMine(term)()) readEnd(job) }
         }
     }
@@ -176,7 +178,7 @@
         job.over = standing
         ends.put(job.spec.id, End(standing, job.spec.fingerprint, job.spec.tasks))
         jobs.remove(job.spec.id)
-        leftovers += job.progress
+        leftovers += job.progress.keys
         // What was claimed and has not left will not be started any more.
         job.claims.values
             .filter { it.phase == Phase.CLAIMED }
@@ -219,19 +221,47 @@
         flushing++
         ctx.count("intent.progress")
         job.unwrittenSince = ctx.now
-        val txn =
-            Txn(listOf(fence(), Condition("live/${job.spec.id}", job.stamp)), listOf(Op.Put(part.key, progress.encode(job.done, part))))
-        job.progress += part.key
+        // Under the row's own stamp: an earlier copy carried out late would else undo what a later one wrote.
+        val before = job.progress.getOrPut(part.key) { 0L }
+        val conditions = listOf(fence(), Condition("live/${job.spec.id}", job.stamp), Condition(part.key, before))
+        val txn = Txn(conditions, listOf(Op.Put(part.key, progress.encode(job.done, part))))
         store.ensure(txn, Urgency.FINISH, stillMine(leadership.term)) { result ->
             job.flushing = false
             flushing--
             when {
-                result is TxnResult.Done -> written.stream().forEach { job.durable.set(part.first + it) }
-                result is TxnResult.Conflict && Leadership.TERM in result.failed -> leadership.stepDown("its term has been passed")
+                result is TxnResult.Done -> {
+                    job.progress[part.key] = result.revision
+                    written.stream().forEach { job.durable.set(part.first + it) }
+                }
+
+                result is TxnResult.Conflict && Leadership.TERM in result.failed -> {
+                    leadership.stepDown("its term has been passed")
+                }
+
+                result is TxnResult.Conflict && part.key in result.failed -> {
+                    readProgress(job, part.key)
+                }
             }
         }
     }
 
+    /** An earlier copy of our own write was the one that was applied: the row says what is durable. */
+    private fun readProgress(
+        job: Job,
+        key: String,
+    ) {
+        val mine = stillMine(leadership.term)
+        job.flushing = true
+        store.get(key, Urgency.FINISH) { read ->
+            job.flushing = false
+            if (!mine()) return@get
+            if (read is Read.Absent) job.progress[key] = 0L
+            if (read !is Read.Found) return@get
+            job.progress[key] = read.value.stamp
+            progress.decode(read.value)?.let(job.durable::or)
+        }
+    }
+
     internal companion object {
         private const val ENDS_KEPT = 20_000L
         private const val CLEAN_S = 1.0
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -284,11 +284,20 @@
 
     fun heard(status: PeerMessage.Status) {
         peerHeardAt = ctx.now
-        if (status.leading) learn(status.from, status.term)
+        // A member that follows a later leader tells of it as well: that leader itself may be out of reach.
+        if (status.leading) {
+            learn(status.from, status.term)
+        } else if (status.leader.isNotEmpty()) {
+            heardOf(status)
+        }
         val confirms = leading && status.from in former && !status.answering && status.term >= term
         if (confirms && silentPeers.add(status.from)) silentSince = ctx.now
     }
 
+    private fun heardOf(status: PeerMessage.Status) {
+        if (leading && status.term > term && status.leader != settings.member) learn(status.leader, status.term)
+    }
+
     fun announce(unheard: List<String> = emptyList()) {
         val message = PeerMessage.Status(settings.member, highestTerm, knownLeader.orEmpty(), leading, answering, store.served, unheard)
         settings.others.forEach { ctx.send(it.member, message) }
--- a/src/main/kotlin/burlridge/peer/Peers.kt
+++ b/src/main/kotlin/burlridge/peer/Peers.kt
@@ -9,7 +9,9 @@
     private val ctx: Context,
 ) {
     private val asked = Long2ObjectOpenHashMap<(Answer?) -> Unit>()
-    private var nextAsk = 1L
+
+    /** Begins anywhere: a reply to a question of our former self must not meet one of ours. */
+    private var nextAsk = ctx.random.nextLong(Long.MAX_VALUE / 2)
     private val statuses = HashMap<String, PeerMessage.Status>()
     private val heardAt = HashMap<String, Double>()
 
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -81,7 +81,7 @@
 
     private fun usable(machine: Machine): Boolean =
         machine.up && machine.hears && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
-            !workers.silent(machine) &&
+            !workers.silent(machine) && !workers.mute(machine) &&
             ctx.now >= machine.nextCommandAt && workers.reaches(machine)
 
     private fun free(
--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -84,6 +84,8 @@
     private val requests = Bucket(settings.store.rps / BURST_PART)
     private val counters = Urgency.entries.associateWith { "store.requests.${it.name.lowercase()}" }
     private val queues = Urgency.entries.associateWith { ArrayDeque<Waiting>() }
+    private val reads = Urgency.entries.associateWith { ArrayDeque<Waiting>() }
+    private val lines = queues.values + reads.values
     private var leads = false
     private var lastServedAt = 0.0
     private var lastRefusedAt = -1.0
@@ -161,6 +163,7 @@
         txn: Txn,
         urgency: Urgency,
         patienceS: Double = WRITE_PATIENCE_S,
+        onSend: () -> Unit = {},
         then: (TxnResult) -> Unit,
     ) {
         val body =
@@ -177,6 +180,7 @@
             return
         }
         enqueue(urgency, txn.ops.size, patienceS, { then(TxnResult.Refused) }) {
+            onSend()
             ctx.call(settings.state, "POST", "/multi", body, CALL_TIMEOUT_S) { outcome -> then(settle(outcome)) }
         }
     }
@@ -250,22 +254,39 @@
         }
     }
 
-    /** Repeats [txn] until its outcome is known or [stillWanted] says no; each of our rows is written under a stamp that only one copy can match. */
+    /**
+     * Repeats [txn] until its outcome is known or [stillWanted] says no; each of our rows is written under a stamp that only one copy can match.
+     * [doubt] is told true while a copy may have been carried out without our knowing, and false once all that were sent are refused.
+     */
     fun ensure(
         txn: Txn,
         urgency: Urgency,
         stillWanted: () -> Boolean,
+        doubt: (Boolean) -> Unit = {},
         then: (TxnResult) -> Unit,
     ) {
-        txn(txn, urgency, PATIENT_S) { result ->
+        repeated(txn, urgency, stillWanted, doubt, everUnknown = false, then)
+    }
+
+    private fun repeated(
+        txn: Txn,
+        urgency: Urgency,
+        stillWanted: () -> Boolean,
+        doubt: (Boolean) -> Unit,
+        everUnknown: Boolean,
+        then: (TxnResult) -> Unit,
+    ) {
+        txn(txn, urgency, PATIENT_S, { doubt(true) }) { result ->
             when {
                 !stillWanted() -> {
                     Unit
                 }
 
                 result is TxnResult.Refused || result is TxnResult.Unknown -> {
+                    val unknown = everUnknown || result is TxnResult.Unknown
+                    doubt(unknown)
                     ctx.later(RETRY_S) {
-                        if (stillWanted()) ensure(txn, urgency, stillWanted, then)
+                        if (stillWanted()) repeated(txn, urgency, stillWanted, doubt, unknown, then)
                     }
                 }
 
@@ -343,7 +364,15 @@
         drop: () -> Unit,
         send: () -> Unit,
     ) {
-        queues.getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop, counters.getValue(urgency)))
+        (
+            if (writes ==
+                0
+            ) {
+                reads
+            } else {
+                queues
+            }
+        ).getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop, counters.getValue(urgency)))
         pump()
     }
 
@@ -351,27 +380,36 @@
         val part = if (leads) LEADER_PART else (1 - LEADER_PART) / (settings.controllers - 1).coerceAtLeast(1)
         writes.refill(ctx.now, settings.store.writeRps * part)
         requests.refill(ctx.now, settings.store.rps * part)
-        for (queue in queues.values) {
+        for (queue in lines) {
             while (queue.isNotEmpty() && ctx.now - queue.first().since > queue.first().patienceS) queue.removeFirst().drop()
         }
         if (ctx.now < pausedUntil) return
         var mayWrite = true
-        for (queue in queues.values) {
-            while (queue.isNotEmpty()) {
-                val next = queue.first()
-                if (next.cost > 0 && !(mayWrite && writes.take(next.cost.toDouble()))) {
-                    // Nothing less urgent may write before it; reads need not wait for that.
+        for (urgency in Urgency.entries) {
+            // A read never waits for room to write: polls went unanswered behind a burst of submissions.
+            while (reads.getValue(urgency).isNotEmpty()) if (!sendFirst(reads.getValue(urgency))) return
+            val queue = queues.getValue(urgency)
+            while (mayWrite && queue.isNotEmpty()) {
+                // Nothing less urgent may write before it.
+                val cost = queue.first().cost.toDouble()
+                if (!writes.holds(cost)) {
                     mayWrite = false
-                    break
+                } else {
+                    if (!sendFirst(queue)) return
+                    writes.take(cost)
                 }
-                if (!requests.take(1.0)) return
-                queue.removeFirst()
-                ctx.count(next.counter)
-                next.send()
             }
         }
     }
 
+    private fun sendFirst(queue: ArrayDeque<Waiting>): Boolean {
+        if (!requests.take(1.0)) return false
+        val next = queue.removeFirst()
+        ctx.count(next.counter)
+        next.send()
+        return true
+    }
+
     internal companion object {
         /** Conditions that a transaction may have for each change that it may have. */
         const val CONDITIONS_AN_OP = 4
--- a/src/main/kotlin/burlridge/store/WriteBudget.kt
+++ b/src/main/kotlin/burlridge/store/WriteBudget.kt
@@ -15,9 +15,11 @@
         at = now
     }
 
+    /** A transaction larger than the bucket goes when the bucket is full. */
+    fun holds(amount: Double): Boolean = level >= minOf(amount, burst)
+
     fun take(amount: Double): Boolean {
-        // A transaction larger than the bucket goes when the bucket is full.
-        if (level < minOf(amount, burst)) return false
+        if (!holds(amount)) return false
         level -= amount
         return true
     }
--- a/src/main/kotlin/burlridge/worker/Commands.kt
+++ b/src/main/kotlin/burlridge/worker/Commands.kt
@@ -54,17 +54,18 @@
     fun command(machine: Machine) {
         val address = machine.address ?: return
         if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
-        if (!leadership.standing) return
+        // While others may have been elected only what can never be wrong goes out: the stops of cancelled jobs.
+        if (!leadership.standing && !leadership.answering) return
         val claims = ledger.claims.byMachine[machine.id]?.values
         if (claims.isNullOrEmpty()) return
         val orders = Json.arr()
-        val starts = startsOf(machine)
-        val stops = claims.filter { wantsStop(it) }
-        val fencing = machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
+        val starts = if (leadership.standing) startsOf(machine) else emptyList()
+        val stops = claims.filter { (leadership.standing || words.withdrawn(it)) && wantsStop(it) }
+        val fencing = leadership.standing && machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
         if (starts.isEmpty() && stops.isEmpty() && !fencing) return
         stops.forEach {
             it.stopSentAt = ctx.now
-            orders.add(words.order("halt", it.piece, it.run, it.stopGraceS ?: 0.0))
+            orders.add(words.order("halt", it.piece, it.run, if (words.withdrawn(it)) 0.0 else it.stopGraceS ?: 0.0))
         }
         starts.take(MOST_ORDERS).forEach {
             it.phase = Phase.SENT
@@ -93,9 +94,10 @@
 
     private fun wantsStop(claim: Claim): Boolean {
         if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
-        if (claim.phase == Phase.SAVING && ledger.jobs[claim.job] != null) return false
+        if (words.withdrawn(claim)) return true
+        if (claim.phase == Phase.SAVING) return false
         if (claim.stopTold && words.savesAsGang(claim)) return false
-        return claim.stopGraceS != null || ledger.jobs[claim.job] == null
+        return claim.stopGraceS != null
     }
 
     private fun send(
@@ -204,7 +206,9 @@
         probeAt = ctx.now + PROBE_S
         for (zone in reach.left()) {
             val there =
-                machines.filter { it.zone == zone && it.up && it.via == null && it.address != null && !it.commanding && !it.leaving }
+                machines.filter {
+                    it.zone == zone && it.up && !it.lapsed && it.via == null && it.address != null && !it.commanding && !it.leaving
+                }
             val machine = there.randomOrNull(ctx.random) ?: continue
             send(machine, machine.address ?: continue, Json.arr(), emptyList())
         }
--- a/src/main/kotlin/burlridge/worker/Orders.kt
+++ b/src/main/kotlin/burlridge/worker/Orders.kt
@@ -23,9 +23,8 @@
                 ledger.claims.byMachine[machine.id]
                     ?.get(report.piece)
                     ?.takeIf { it.run == report.run }
-            val job = report.piece.substringBefore('/')
             when {
-                claim == null || ledger.jobs[job] == null || ledger.jobs[job]?.ending == Standing.WITHDRAWN -> {
+                claim == null || withdrawn(claim) -> {
                     orders.add(order("halt", report.piece, report.run, 0.0))
                 }
 
@@ -65,6 +64,9 @@
         }
     }
 
+    /** Its job is over, or its user has asked to cancel it. */
+    fun withdrawn(claim: Claim): Boolean = ledger.jobs[claim.job]?.let { it.ending == Standing.WITHDRAWN } ?: true
+
     /** The tasks of a gang that saves are all told by commands, at the same time. */
     fun savesAsGang(claim: Claim): Boolean = (claim.stopGraceS ?: 0.0) > 0 && ledger.jobs[claim.job]?.spec?.gang == true
 
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -115,6 +115,10 @@
         }
         // A report overtaken by a command's answer still renews the worker's lease when it is answered.
         machine.answeredAt = ctx.now
+        if (fresh) {
+            machine.beatAt = ctx.now
+            machine.lapsed = false
+        }
         val orders = Json.arr()
         if (fresh && loaded) {
             reconcile(machine)
@@ -139,9 +143,14 @@
         val tally = report.path("tally").asLong()
         if (session < machine.session || (session == machine.session && tally <= machine.tally)) return false
         if (session != machine.session && machine.up && loaded) loseAll(machine, "its worker began session $session", session)
+        if (session != machine.session || machine.tally < 0) {
+            // Its lease began with the session, at the latest now. Only a new session ends the lapse of the one before: an answer to a
+            // command renews no lease, and what started after it would be taken for gone while it runs.
+            machine.lapsed = false
+            machine.answeredAt = maxOf(machine.answeredAt, ctx.now)
+        }
         machine.session = session
         machine.tally = tally
-        machine.lapsed = false
         val fencedBefore = fenced(machine)
         machine.echoed = maxOf(machine.echoed, report.path("baton").asLong())
         // Until it has seen our term an earlier leader's answer may have renewed its lease.
@@ -350,6 +359,13 @@
     /** Sends what is due to [machine] straight away. */
     fun command(machine: Machine) = commands.command(machine)
 
+    /** Nobody has any use for what the tasks of a withdrawn [job] do: their machines are told at once, before its end is durable. */
+    fun stop(job: Job) =
+        job.claims.values
+            .mapNotNull { machines[it.machine] }
+            .distinct()
+            .forEach { command(it) }
+
     // --- losses
 
     fun tick() {
@@ -359,7 +375,7 @@
         if (loaded) leaving.leaveSlow(machines.values)
         for (machine in machines.values.toList()) {
             if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
-            if (loaded && silent(machine)) withdrawUnsent(machine, "never sent, and its machine is silent")
+            if (loaded && (silent(machine) || mute(machine))) withdrawUnsent(machine, "never sent, and its machine is silent")
             if (loaded && !machine.hears) withdrawUnsent(machine, "never sent, and its machine does not hear")
             if (machine.recallAt != null) leaving.drain(machine)
             command(machine)
@@ -382,6 +398,9 @@
 
     fun silent(machine: Machine): Boolean = ctx.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
 
+    /** It answers commands and reaches no controller: its lease runs out with all that would be placed on it. */
+    fun mute(machine: Machine): Boolean = ctx.now > maxOf(machine.beatAt, machine.knownSince) + times.leaseS / 2
+
     private fun fenced(machine: Machine): Boolean = machine.echoed shr TERM_SHIFT == leadership.term
 
     private fun lapsesAt(machine: Machine): Double {
--- a/src/test/kotlin/burlridge/sim/CloudService.kt
+++ b/src/test/kotlin/burlridge/sim/CloudService.kt
@@ -19,6 +19,9 @@
     private var next = 1
     var down = false
     var silentBoots = false
+
+    /** Seconds until a machine is up. */
+    var bootS: () -> Double = { 5 + world.random.nextDouble() * 10 }
     var requests = ArrayList<String>()
 
     fun worker(id: String): Worker? = machines[id]?.worker
@@ -104,7 +107,7 @@
         val rented = Rented(Worker(world, id, type, zone, spot, "10.1.0.${next++}:9000"), world.clock.now)
         machines[id] = rented
         if (!silentBoots) {
-            world.clock.after(5 + world.random.nextDouble() * 10) {
+            world.clock.after(bootS()) {
                 if (machines[id] === rented) {
                     rented.up = true
                     rented.worker.boot()
--- /dev/null
+++ b/src/test/kotlin/burlridge/sim/GapTest.kt
@@ -0,0 +1,110 @@
+package burlridge.sim
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * The state service refuses the leader alone, another member is elected and confirms cancellations, and then it is down for all, for
+ * longer than a cancellation has, while workers go on reporting to the old leader.
+ */
+internal class GapTest {
+    private class Outcome(
+        val broken: List<String>,
+        val confirmedByNext: Int,
+        val log: List<String>,
+    )
+
+    /** [distanceS] lie between the refusal and the outage. The old leader and the next one do not hear each other. */
+    private fun gap(
+        seed: Int,
+        times: Times,
+        distanceS: Double,
+    ): Outcome {
+        val world = World(seed, times = times)
+        val jobs = (0 until 12).map { world.job(it, 2, runS = 200.0) }
+        jobs.forEach { world.clock.after(5.0) { world.submit(it) } }
+        val start = 60.0
+        var old: String? = null
+        var confirmed = 0
+        world.clock.after(start) {
+            val leader = world.leader() ?: return@after
+            old = leader
+            world.refuse(leader, distanceS + 14.0)
+            // Only what a third member says tells the old leader of the next one.
+            world.onLeader = { next -> if (next != leader) world.cut(leader, next, 200.0) }
+            world.onCancelled = { if (world.leader() != leader && world.leader() != null) confirmed++ }
+        }
+        repeat(60) { i ->
+            val job = jobs[i % jobs.size]
+            world.clock.after(start + i * 0.12) {
+                val member = world.members.first { it != old }
+                world.abort(job, member)
+            }
+        }
+        world.clock.after(start + distanceS) { world.state.outage(times.cancelS + 12.0) }
+        world.run(start + distanceS + times.cancelS * 2 + 40.0)
+        return Outcome(world.rules.broken, confirmed, world.log)
+    }
+
+    private fun sweep(times: Times) {
+        var confirmed = 0
+        var distance = 0.5
+        while (distance <= 6.0) {
+            val outcome = gap((distance * 100).toInt(), times, distance)
+            assertEquals(emptyList<String>(), outcome.broken, "$distance s apart\n${outcome.log.takeLast(40).joinToString("\n")}")
+            confirmed += outcome.confirmedByNext
+            distance += 0.25
+        }
+        assertTrue(confirmed > 0, "no cancellation was confirmed by the next leader")
+    }
+
+    /** Guards the bound on a leader's answers after its last good renewal: with it and a lease a task is gone in time. */
+    @Test
+    fun `what was cancelled through the next leader is gone in time, with a lease of 24 s`() = sweep(Times(3.0, 24.0, 54.0))
+
+    @Test
+    fun `what was cancelled through the next leader is gone in time, with a lease of 36 s`() = sweep(Times(6.0, 36.0, 66.0))
+
+    /**
+     * Guards the silence of a leader that has not read the rows: its answers, without a halt, kept alive what the leader before it had
+     * cancelled, for as long as the state service renewed its lease and showed no rows.
+     */
+    @Test
+    fun `a leader that cannot read the rows keeps no cancelled task alive`() {
+        val world = World(5)
+        val jobs = (0 until 6).map { world.job(it, 2, runS = 250.0) }
+        jobs.forEach { world.clock.after(5.0) { world.submit(it) } }
+        world.clock.after(60.0) {
+            world.cloud.names().forEach { machine -> world.members.forEach { world.cut(machine, it, 16.0) } }
+            jobs.forEach { world.abort(it) }
+        }
+        world.clock.after(70.0) {
+            world.leader()?.let { world.crash(it, 2.0) }
+            world.meddle = { _, call ->
+                val unread = call.path.startsWith("/store?") && world.clock.now < 140.0
+                if (unread) World.Fate.ANSWER_LOST else World.Fate.FINE
+            }
+        }
+        world.run(200.0)
+        assertEquals(emptyList<String>(), world.rules.broken)
+        assertTrue(jobs.all { world.rules.finished(it.id) }, "nothing was cancelled")
+    }
+
+    /** Guards the stops that an answering leader still sends: a machine that reaches nobody hears of a cancellation only so. */
+    @Test
+    fun `a cancelled task on a mute machine is stopped by command though the state service is down`() {
+        val world = World(6)
+        val job = world.job(1, 4, runS = 250.0)
+        world.clock.after(5.0) { world.submit(job) }
+        world.clock.after(60.0) {
+            world.cloud.names().forEach { world.mute(it, 40.0) }
+            world.abort(job)
+            world.clock.after(0.006) { world.state.outage(30.0) }
+        }
+        world.run(64.0)
+        assertTrue(world.rules.finished(job.id), "not cancelled")
+        val left = world.cloud.names().filter { name -> (0 until 4).any { world.cloud.worker(name)?.has("${job.id}/$it") == true } }
+        assertEquals(emptyList<String>(), left)
+    }
+}
--- a/src/test/kotlin/burlridge/sim/Rules.kt
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -17,8 +17,12 @@
     var starts = 0
         private set
     private val jobs = HashMap<String, JobSpec>()
-    private val accepted = HashSet<String>()
+    private val acceptedAt = HashMap<String, Double>()
     private val told = HashMap<String, String>()
+    private val toldAt = HashMap<String, Double>()
+
+    /** Starts after their job's cancellation was confirmed, and how long after. */
+    val startsAfterCancellation = ArrayList<Pair<String, Double>>()
     private val cancelledAt = HashMap<String, Double>()
     private val abortAsked = HashSet<String>()
     private val completed = HashMap<String, HashSet<Int>>()
@@ -42,22 +46,36 @@
         status: Int,
         standing: String?,
         submission: Boolean,
+        /** What was asked before another answer came may be answered as things stood then. */
+        askedAt: Double = clock.now,
     ) {
         if (status == 200 && job !in jobs) breach("invented", job)
-        if (job in accepted && status == 404) breach("forgotten", "$job is answered 404")
-        if (job in accepted && submission && (status == 400 || status == 422)) breach("forgotten", "repeat of $job is answered $status")
+        val known = acceptedAt[job]?.let { it <= askedAt } == true
+        if (known && status == 404) breach("forgotten", "$job is answered 404")
+        if (known && submission && (status == 400 || status == 422)) breach("forgotten", "repeat of $job is answered $status")
+        if (known && status == 201) breach("went_back", "$job is accepted a second time")
+        if (status == 200 || status == 201 || status == 404) lastAnswer[job] = clock.now
         if (status == 200 || status == 201) {
-            accepted += job
-            if (standing != null) heard(job, standing)
+            acceptedAt.putIfAbsent(job, clock.now)
+            if (standing != null) heard(job, standing, askedAt)
         }
     }
 
+    private val lastAnswer = HashMap<String, Double>()
+
+    /** Accepted jobs about which no question has been answered since [since]. */
+    fun unanswered(since: Double): List<String> = acceptedAt.keys.filter { (lastAnswer[it] ?: 0.0) < since }
+
     private fun heard(
         job: String,
         standing: String,
+        askedAt: Double,
     ) {
         val before = told[job]
-        if (before != null && before != standing) breach("went_back", "$job was $before, now $standing")
+        val final = standing == "done" || standing == "withdrawn"
+        val older = (toldAt[job] ?: Double.MAX_VALUE) <= askedAt || final
+        if (before != null && before != standing && older) breach("went_back", "$job was $before, now $standing")
+        if (final) toldAt.putIfAbsent(job, clock.now)
         when (standing) {
             "done" -> {
                 if ((completed[job]?.size ?: 0) <
@@ -115,6 +133,7 @@
             breach("quota", "${spec.team} uses ${teamUse(spec.team).cpus} with ${others.size + 1} tasks")
         }
         cancelledAt[job]?.let {
+            startsAfterCancellation += piece to clock.now - it
             if (clock.now >
                 it + cancelS
             ) {
--- a/src/test/kotlin/burlridge/sim/StateService.kt
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -60,6 +60,31 @@
         this.txnOps = txnOps
     }
 
+    private var writeRps = Double.MAX_VALUE
+
+    /** Answers 429 above so many changes a second, with a burst of one second's worth. */
+    fun limitWrites(rps: Double) {
+        writeRps = rps
+        level = rps
+        levelAt = clock.now
+    }
+
+    private var level = Double.MAX_VALUE
+    private var levelAt = 0.0
+    var throttled = 0
+        private set
+
+    private fun admits(changes: Int): Boolean {
+        level = minOf(writeRps, level + (clock.now - levelAt) * writeRps)
+        levelAt = clock.now
+        if (level < changes) {
+            throttled++
+            return false
+        }
+        level -= changes
+        return true
+    }
+
     fun outage(seconds: Double) {
         down = true
         clock.after(seconds) {
@@ -150,6 +175,7 @@
             refusedAsTooLarge++
             return reply(400, "{\"error\":\"too large\"}")
         }
+        if (writeRps < Double.MAX_VALUE && !admits(ops.size)) return reply(429, "{}")
         writes += ops.size
         writesIn.merge(clock.now.toInt(), ops.size, Int::plus)
         if (ops.any { it.has("tether") && it.path("tether").asLong() !in leases }) return reply(400, "{\"error\":\"no such lease\"}")
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -77,6 +77,26 @@
 
     fun has(piece: String): Boolean = tasks.values.any { it.piece == piece && it.standing != "exited" }
 
+    private var hungUntil = 0.0
+    private val hung: Boolean get() = world.clock.now < hungUntil
+    private val held = ArrayList<() -> Unit>()
+
+    /** It stands still with all that is on it; what comes meanwhile is carried out when it goes on. */
+    fun hang(seconds: Double) {
+        hungUntil = world.clock.now + seconds
+        world.clock.after(seconds + 0.001) {
+            if (alive) {
+                expire()
+                held.toList().also { held.clear() }.forEach { it() }
+            }
+        }
+    }
+
+    /** Now, or when it goes on. */
+    private fun whenAwake(work: () -> Unit) {
+        if (hung) held += work else work()
+    }
+
     fun kill() {
         alive = false
         tasks.values.forEach { leave(it, false) }
@@ -86,17 +106,20 @@
     private fun watchLease() {
         world.clock.after(0.1) {
             if (alive) {
-                if (world.clock.now > answeredSentAt + world.leaseS) {
-                    tasks.values.forEach { leave(it, false) }
-                    tasks.clear()
-                    session++
-                    answeredSentAt = world.clock.now
-                }
+                if (!hung) expire()
                 watchLease()
             }
         }
     }
 
+    private fun expire() {
+        if (world.clock.now <= answeredSentAt + world.leaseS) return
+        tasks.values.forEach { leave(it, false) }
+        tasks.clear()
+        session++
+        answeredSentAt = world.clock.now
+    }
+
     private fun leave(
         task: Task,
         done: Boolean,
@@ -129,6 +152,7 @@
 
     private fun beat() {
         if (!alive || inFlight) return
+        if (hung) return whenAwake { beat() }
         inFlight = true
         changed = false
         val sentAt = world.clock.now
@@ -137,6 +161,7 @@
         world.request(id, name, "POST", "/agent/beat", report().toString(), 4.0) { status, body ->
             inFlight = false
             if (!alive) return@request
+            if (hung) return@request whenAwake { nextBeat() }
             val answer = Json.parseOrNull(body)
             when (status) {
                 200 -> {
@@ -185,6 +210,10 @@
         body: String,
     ): Pair<Int, String>? {
         if (!alive) return null
+        if (hung) {
+            held += { handle(path, body) }
+            return null
+        }
         if (path == "/inspect") return 200 to report().toString()
         val command = Json.parse(body)
         if (!command.has("baton") || !command.has("stint")) return 400 to "{}"
@@ -253,7 +282,7 @@
                     ?.cpus ?: 0.0
             }
         if (cpus > world.types.getValue(type).cpus + 1e-6) return exit(task, "full")
-        world.clock.after(world.random.nextDouble() * 2) { fetched(key, task, spec.estimateS) }
+        world.clock.after(world.random.nextDouble() * 2) { whenAwake { fetched(key, task, spec.estimateS) } }
     }
 
     private fun fetched(
@@ -267,11 +296,16 @@
         task.standing = "running"
         changed = true
         val need = if (world.rules.hasCompleted(task.piece)) 0.0 else runS * slowness
-        world.clock.after(need) {
-            if (alive && tasks[key] === task && task.standing == "running") {
-                leave(task, true)
-                exit(task, "done")
-            }
+        world.clock.after(need) { whenAwake { complete(key, task) } }
+    }
+
+    private fun complete(
+        key: String,
+        task: Task,
+    ) {
+        if (alive && tasks[key] === task && task.standing == "running") {
+            leave(task, true)
+            exit(task, "done")
         }
     }
 }
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -13,6 +13,13 @@
 import burlridge.peer.PeerMessage
 import kotlin.random.Random
 
+/** The workers' times of a deployment. */
+internal data class Times(
+    val reportS: Double = 3.0,
+    val leaseS: Double = 24.0,
+    val cancelS: Double = 54.0,
+)
+
 internal data class TypeSpec(
     val cpus: Double,
     val memoryGb: Double,
@@ -31,13 +38,15 @@
     private val next: String? = null,
     /** Whether members start as of the version before: it knows neither gangs nor limits to come. */
     old: Boolean = false,
+    val times: Times = Times(),
+    private val writeRps: Int = 50,
     private val lanes: String = """{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}""",
 ) {
     val clock = Clock()
     val random = Random(seed)
-    val reportS = 3.0
-    val leaseS = 24.0
-    val cancelS = 54.0
+    val reportS = times.reportS
+    val leaseS = times.leaseS
+    val cancelS = times.cancelS
     val zones = listOf("a", "b")
     val gangWaitS = 30.0
     val gangPeerS = 4.0
@@ -57,6 +66,12 @@
     /** Machines whose reports arrive, while neither answers nor commands reach them; and until when. */
     private val deaf = HashMap<String, Double>()
 
+    /** Machines that reach no member, while commands reach them; and until when. */
+    private val mute = HashMap<String, Double>()
+
+    /** Members whom the state service refuses, each alone, and until when. */
+    private val refused = HashMap<String, Double>()
+
     /** Members that stand still, and until when; what comes meanwhile waits. */
     private val frozen = HashMap<String, Double>()
     private val heldInputs = HashMap<String, ArrayList<Input>>()
@@ -123,7 +138,7 @@
             "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
             "objectives":[$lanes],
             "workers":{"report_s":$reportS,"lease_s":$leaseS,$gangTimes"cancel_s":$cancelS},
-            "state":{"rps":200,"write_rps":50,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3}}}""",
+            "state":{"rps":200,"write_rps":$writeRps,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3}}}""",
         )
     }
 
@@ -153,6 +168,7 @@
     ) {
         if (lives[name] != life || controllers[name] == null) return
         step(name, Input.Tick)
+        watchLeader()
         clock.after(0.1) { tick(name, life) }
     }
 
@@ -171,6 +187,54 @@
         deaf[machine] = clock.now + seconds
     }
 
+    fun mute(
+        machine: String,
+        seconds: Double,
+    ) {
+        mute[machine] = clock.now + seconds
+    }
+
+    /** The state service answers [member] 503 while it serves the others. */
+    fun refuse(
+        member: String,
+        seconds: Double,
+    ) {
+        refused[member] = clock.now + seconds
+    }
+
+    private fun isRefused(member: String): Boolean = (refused[member] ?: 0.0) > clock.now
+
+    /** Keeps a copy of the reports of the next [seconds]; all members get them when the next leader begins. */
+    fun keepReportsForNextLeader(seconds: Double) {
+        val until = clock.now + seconds
+        keeps = { clock.now < until }
+    }
+
+    private var keeps: () -> Boolean = { false }
+    private val kept = ArrayList<String>()
+    private var ledBy: String? = null
+
+    /** Told of each change of leader. */
+    var onLeader: (String) -> Unit = {}
+
+    /** Told of each cancellation confirmed. */
+    var onCancelled: (String) -> Unit = {}
+
+    /** How long a message from member to member takes. */
+    var peerS: () -> Double = { 0.001 }
+
+    private fun watchLeader() {
+        val now = leader() ?: return
+        if (now != ledBy) onLeader(now)
+        if (now != ledBy && ledBy != null) {
+            kept.forEach { body ->
+                members.forEach { step(it, Input.Request(nextRequest++, "POST", "/agent/beat", "", body)) }
+            }
+            if (!keeps()) kept.clear()
+        }
+        ledBy = now
+    }
+
     private fun isDeaf(machine: String): Boolean = (deaf[machine] ?: 0.0) > clock.now
 
     private fun atEndOfCut(
@@ -229,7 +293,7 @@
 
             is Effect.Send -> {
                 (effect.message as? PeerMessage.Ask)?.let { onAsk(it.path) }
-                if (!isCut(name, effect.member)) clock.after(0.001) { step(effect.member, Input.FromPeer(effect.message)) }
+                if (!isCut(name, effect.member)) clock.after(peerS()) { step(effect.member, Input.FromPeer(effect.message)) }
             }
 
             is Effect.Call -> {
@@ -272,6 +336,10 @@
         val fate = if (host == "nobody") Fate.REFUSED else drawn
         clock.after(effect.timeoutS) { settle(Outcome.Unknown) }
         when {
+            host == "state" && isRefused(name) && !effect.path.startsWith("/follow") -> {
+                clock.after(0.003) { settle(Outcome.Answered(503, "{}")) }
+            }
+
             isDeaf(host) || (isCut(name, host) && fate != Fate.LATE) -> {
                 // On a connection that stood before the cut it is held back; where there is none, none can be made.
                 if (holds && calls % 2 == 0) {
@@ -334,6 +402,7 @@
         }
         clock.after(timeoutS) { settle(0, "") }
         val cut = isCut(from, name)
+        if ((mute[from] ?: 0.0) > clock.now) return clock.after(0.5) { settle(0, "") }
         if (cut || controllers[name] == null) {
             val late = Input.Request(nextRequest++, method, path, "", body)
             if (cut && holds) atEndOfCut(from, name) { step(name, late) } else clock.after(0.5) { settle(0, "") }
@@ -343,6 +412,7 @@
         openRequests[name to id] = { status, text -> clock.after(0.001) { if (!isCut(from, name) && !isDeaf(from)) settle(status, text) } }
         step(name, Input.Request(id, method, path, "", body))
         if (path == "/agent/beat") {
+            if (keeps()) kept += body
             copyAfter(from)?.let { clock.after(it) { step(members.random(random), Input.Request(nextRequest++, method, path, "", body)) } }
         }
     }
@@ -406,8 +476,10 @@
     private fun anyMember(): String = members.filter { controllers[it] != null }.ifEmpty { members }.random(random)
 
     private fun attempt(spec: JobSpec) {
+        val askedAt = clock.now
         request("user", anyMember(), "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, body ->
-            rules.answered(spec.id, status, standing(body), submission = true)
+            rules.answered(spec.id, status, standing(body), submission = true, askedAt)
+            if (status == 201) lookClosely(spec)
             if (status == 200 || status == 201) poll(spec, 0) else clock.after(1.0) { attempt(spec) }
         }
     }
@@ -417,24 +489,78 @@
         afterEnd: Int,
     ) {
         clock.after(2.0 + random.nextDouble()) {
+            val askedAt = clock.now
             request("user", anyMember(), "GET", "/api/jobs/${spec.id}", "", 2.0) { status, body ->
-                rules.answered(spec.id, status, standing(body), submission = false)
+                val wasOver = rules.finished(spec.id)
+                rules.answered(spec.id, status, standing(body), submission = false, askedAt)
+                if (!wasOver && rules.finished(spec.id)) lookClosely(spec)
                 val ended = if (rules.finished(spec.id)) afterEnd + 1 else 0
                 if (ended == 3) resubmit(spec) else poll(spec, ended)
             }
         }
     }
 
-    private fun resubmit(spec: JobSpec) {
-        request("user", anyMember(), "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, body ->
-            rules.answered(spec.id, status, standing(body), submission = true)
+    private fun resubmit(spec: JobSpec) = submitOnce(spec, anyMember())
+
+    fun submitOnce(
+        spec: JobSpec,
+        member: String,
+    ) {
+        val askedAt = clock.now
+        request("user", member, "POST", "/api/jobs", spec.encode().toString(), 5.0) { status, body ->
+            rules.answered(spec.id, status, standing(body), submission = true, askedAt)
+        }
+    }
+
+    /** A question that does not care for what it finds. */
+    fun look(
+        spec: JobSpec,
+        member: String,
+    ) {
+        val askedAt = clock.now
+        request("user", member, "GET", "/api/jobs/${spec.id}", "", 2.0) { status, body ->
+            rules.answered(spec.id, status, standing(body), submission = false, askedAt)
         }
     }
 
-    private fun abort(spec: JobSpec) {
+    /** A question about a job known by its name alone; the answer must be about that job. */
+    fun lookAt(
+        id: String,
+        member: String,
+    ) {
+        val askedAt = clock.now
+        request("user", member, "GET", "/api/jobs/$id", "", 2.0) { status, body ->
+            val named = Json.parseOrNull(body)?.path("id")?.asText()
+            rules.answered(if (status == 200) named ?: id else id, status, standing(body), submission = false, askedAt)
+            if (status == 200 && named != id) rules.broken += "went_back at ${clock.now}: asked for $id, told of $named"
+        }
+    }
+
+    /** Whether users, told of an acceptance or an end, ask all members within milliseconds and repeat the submission there. */
+    var closeLooks = false
+
+    private fun lookClosely(spec: JobSpec) {
+        if (!closeLooks) return
+        members.forEachIndexed { i, member ->
+            listOf(0.0, 0.002, 0.02, 0.3, 1.5).forEach { delay -> clock.after(delay + i * 0.0007) { look(spec, member) } }
+            listOf(0.001, 0.4).forEach { delay -> clock.after(delay + i * 0.0007) { submitOnce(spec, member) } }
+        }
+    }
+
+    fun abort(
+        spec: JobSpec,
+        member: String? = null,
+    ) {
         rules.askedToAbort(spec.id)
-        request("user", anyMember(), "POST", "/api/jobs/${spec.id}/abort", "", 5.0) { status, body ->
-            if (status == 200) rules.answered(spec.id, status, standing(body), submission = false) else clock.after(1.0) { abort(spec) }
+        val askedAt = clock.now
+        request("user", member ?: anyMember(), "POST", "/api/jobs/${spec.id}/abort", "", 5.0) { status, body ->
+            if (status == 200) {
+                if (standing(body) == "withdrawn") onCancelled(spec.id)
+                rules.answered(spec.id, status, standing(body), submission = false, askedAt)
+                lookClosely(spec)
+            } else {
+                clock.after(1.0) { abort(spec, member) }
+            }
         }
     }
 
