--- a/src/main/kotlin/burlridge/app/Http.kt
+++ b/src/main/kotlin/burlridge/app/Http.kt
@@ -74,6 +74,7 @@
     private var nextId = 1L
     private val waiting = LinkedHashMap<Long, Waiting>()
     private val guests = Guests<Connection>(budget.guests, budget.crowded, patienceS)
+    private val heads = ArrayDeque<KnownHead>()
     private var shutOut = 0L
     private var fullToldAt = 0L
     val open: Int get() = guests.size
@@ -130,6 +131,7 @@
         connection: Connection,
         scope: CoroutineScope,
     ) {
+        connection.shortcut = { bytes -> takesAsItComes(connection, bytes, scope) }
         while (true) {
             val request = parseRequest(connection.input) ?: return
             try {
@@ -156,7 +158,7 @@
                 guests.answered(connection, seconds())
                 // A worker loses nothing by connecting anew for its next report; a user's request might cross the close.
                 val close = asked || (guests.isCrowded && uri == WORKER_PATH)
-                if (uri in REPEATED && connection.shortcut == null) learn(connection, request, uri, scope)
+                if (uri in REPEATED) learn(connection, request, uri)
                 connection.between()
                 write(connection, answer, close)
                 if (close) return
@@ -166,30 +168,37 @@
         }
     }
 
-    /** From now on a request with the same head is taken as it comes. */
+    /** From now on a request with the same head is taken as it comes, on whichever connection. */
     private fun learn(
         connection: Connection,
         request: Request,
         uri: String,
-        scope: CoroutineScope,
     ) {
         val size =
             request.headers["Content-Length"]
                 ?.toString()
                 ?.trim()
                 ?.toIntOrNull() ?: 0
-        val known = connection.opening?.let { KnownHead.of(it, request.method.value, uri, size) } ?: return
-        connection.shortcut = { bytes ->
-            val at = known.bodyAt(bytes)
-            val fits = at >= 0 && bytes.size - at <= MOST_BODY
-            if (fits) {
-                guests.asks(connection)
-                val id = nextId++
-                waiting[id] = Waiting(System.nanoTime()) { finish(connection, known.uri, it, scope) }
-                handle(Input.Request(id, known.method, known.uri, "", String(bytes, at, bytes.size - at)))
-            }
-            fits
+        val head = connection.opening?.let { KnownHead.of(it, request.method.value, uri, size) } ?: return
+        if (heads.size == MOST_HEADS) heads.removeFirst()
+        heads.addLast(head)
+    }
+
+    private fun takesAsItComes(
+        connection: Connection,
+        bytes: ByteArray,
+        scope: CoroutineScope,
+    ): Boolean {
+        for (head in heads) {
+            val at = head.bodyAt(bytes)
+            if (at < 0 || bytes.size - at > MOST_BODY) continue
+            guests.asks(connection)
+            val id = nextId++
+            waiting[id] = Waiting(System.nanoTime()) { finish(connection, head.uri, it, scope) }
+            handle(Input.Request(id, head.method, head.uri, "", String(bytes, at, bytes.size - at)))
+            return true
         }
+        return false
     }
 
     private fun finish(
@@ -250,8 +259,9 @@
         const val MOST_BODY = 64 * 1024
         const val WORKER_PATH = "/agent/beat"
 
-        /** What the same connection asks again and again. */
-        val REPEATED = setOf(WORKER_PATH, "/ready")
+        /** What is asked again and again with the same head. */
+        val REPEATED = setOf(WORKER_PATH, "/ready", "/api/jobs")
+        const val MOST_HEADS = 4
         const val NS_A_S = 1e9
         const val TELL_NS = 10_000_000_000L
         const val HANDLE_NS = 4_000_000_000L
--- a/src/main/kotlin/burlridge/app/KnownHead.kt
+++ b/src/main/kotlin/burlridge/app/KnownHead.kt
@@ -1,8 +1,8 @@
 package burlridge.app
 
 /**
- * The head of a request that Ktor's parser has read on this connection. Workers and health checks send the same one again and again,
- * but for the length of the body: such a request need not be parsed anew, which was a quarter of a leader's time.
+ * The head of a request that Ktor's parser has read. Workers and health checks all send the same one again and again, but for the
+ * length of the body: such a request need not be parsed anew, which was a quarter of a leader's time.
  */
 internal class KnownHead private constructor(
     private val head: ByteArray,
--- a/src/main/kotlin/burlridge/app/WarmUp.kt
+++ b/src/main/kotlin/burlridge/app/WarmUp.kt
@@ -91,7 +91,7 @@
         }
 
     private companion object {
-        const val STEPS = 60
+        const val STEPS = 32
         const val STEP_S = 0.1
         const val STEPS_A_JOB = 4
         const val MS_A_S = 1000
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -33,6 +33,7 @@
     private var listBusy = false
     private var listAt = -1e9
     private var everListed = false
+    private var pages = 1
     private val rentals = Rentals(ctx, store, leadership, workers)
     private val returns = Returns(ctx, leadership, ledger, workers, rentals)
     private val lag = ctx.settings.cloudLimits.listLagS
@@ -64,7 +65,8 @@
     // --- the cloud's list
 
     fun tick() {
-        if (!listBusy && ctx.now >= listAt + lag) {
+        // A long list takes a good part of a small controller's time, and what it shows is never fresher than its lag.
+        if (!listBusy && ctx.now >= listAt + lag * maxOf(1.0, pages * LAGS_A_PAGE)) {
             listBusy = true
             listAt = ctx.now
             list("", ArrayList(), leadership.term)
@@ -82,7 +84,7 @@
         term: Long,
     ) {
         val after = if (from.isEmpty()) "" else "from=$from&"
-        ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=500", null, CLOUD_TIMEOUT_S) { outcome ->
+        ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=$PAGE", null, CLOUD_TIMEOUT_S) { outcome ->
             val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
             val page = body?.get("drovers")?.takeIf { it.isArray }
             if (page == null || !mine(term)) {
@@ -94,6 +96,7 @@
                 list(page.last().path("id").asText(), found, term)
             } else {
                 listBusy = false
+                pages = (found.size + PAGE - 1) / PAGE
                 listed(found)
             }
         }
@@ -246,6 +249,8 @@
         /** A list is at most twice its usual lag old; the rest is margin. */
         const val OLDEST_LIST = 3.0
         private const val PLAN_S = 1.0
+        private const val PAGE = 500
+        private const val LAGS_A_PAGE = 0.5
 
         /** Estimates are often wrong by half, and what runs does not end evenly. */
         private const val UNSURE = 2.0
--- a/src/main/kotlin/burlridge/worker/Commands.kt
+++ b/src/main/kotlin/burlridge/worker/Commands.kt
@@ -58,6 +58,7 @@
         if (!leadership.standing && !leadership.answering) return
         val claims = ledger.claims.byMachine[machine.id]?.values
         if (claims.isNullOrEmpty()) return
+        if (claims.none { it.phase <= Phase.SENT || it.stopGraceS != null || words.withdrawn(it) }) return
         val orders = Json.arr()
         val starts = if (leadership.standing) startsOf(machine) else emptyList()
         val stops = claims.filter { (leadership.standing || words.withdrawn(it)) && wantsStop(it) }
