--- a/src/test/kotlin/burlridge/sim/MeetingsTest.kt
+++ b/src/test/kotlin/burlridge/sim/MeetingsTest.kt
@@ -17,7 +17,19 @@
         for (seed in seeds) {
             val played = world(seed)
             val jobs = played.day()
+            played.sendWrongOnes(until - 20.0)
+            played.at(until - WATCHED_S) { played.watchWaiting() }
+            // Troubles are long over: every member is asked about every job, and some member answers for each.
+            jobs.forEachIndexed { i, id ->
+                played.members.forEachIndexed {
+                    m,
+                    member,
+                    ->
+                    played.at(until - UNANSWERED_S + m * 5.0 + i * 0.01) { played.lookAt(id, member) }
+                }
+            }
             played.run(until)
+            assertEquals(emptyList<String>(), played.rules.unanswered(until - UNANSWERED_S).filter { it in jobs }, "unanswered")
             val tail = "seed $seed\n" + played.log.takeLast(40).joinToString("\n")
             assertEquals(emptyList<String>(), played.rules.broken, tail)
             assertEquals(emptyList<String>(), jobs.filterNot { played.rules.finished(it) }, "not over, $tail")
@@ -324,4 +336,9 @@
             }
             jobs
         }
+
+    private companion object {
+        const val UNANSWERED_S = 75.0
+        const val WATCHED_S = 120.0
+    }
 }
--- a/src/test/kotlin/burlridge/sim/Rules.kt
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -8,6 +8,7 @@
     private val clock: Clock,
     private val cancelS: Double,
     private val teamCpus: Map<String, Double>,
+    private val teamGpus: Map<String, Double> = emptyMap(),
 ) {
     private class On(
         val machine: Worker,
@@ -61,6 +62,36 @@
         }
     }
 
+    /** A submission that lacks a field or can never run has been answered. */
+    fun answeredWrongOne(
+        job: String,
+        status: Int,
+    ) {
+        if (status == 200 || status == 201) breach("accepted_wrong", "$job is answered $status")
+    }
+
+    private val waitingSince = HashMap<String, Double>()
+
+    /** Jobs that wait although there is [room] for them: none may for longer than 90 s. */
+    fun waiting(room: (JobSpec) -> Boolean) {
+        for (job in acceptedAt.keys) {
+            val spec = jobs[job] ?: continue
+            val limit = teamCpus[spec.team] ?: 0.0
+            val atLimit = limit > 0 && teamUse(spec.team).cpus + spec.size.cpus > limit + 1e-6
+            val waits = told[job] == null && on.keys.none { it.substringBefore('/') == job } && !atLimit && room(spec)
+            if (!waits) {
+                waitingSince.remove(job)
+            } else if (clock.now > waitingSince.getOrPut(job) { clock.now } + MOST_WAIT_S) {
+                breach("left_waiting", "$job waits for ${clock.now - waitingSince.getValue(job)} s beside room")
+                waitingSince.remove(job)
+            }
+        }
+    }
+
+    private companion object {
+        const val MOST_WAIT_S = 90.0
+    }
+
     private val lastAnswer = HashMap<String, Double>()
 
     /** Accepted jobs about which no question has been answered since [since]. */
@@ -126,12 +157,11 @@
             breach("wrong_place", "$piece crowds ${worker.zone}")
         }
         on.getOrPut(piece) { ArrayList() } += On(worker)
-        val limit = teamCpus[spec.team] ?: 0.0
-        if (limit > 0 &&
-            teamUse(spec.team).cpus > limit + 1e-6
-        ) {
-            breach("quota", "${spec.team} uses ${teamUse(spec.team).cpus} with ${others.size + 1} tasks")
-        }
+        val use = teamUse(spec.team)
+        val cpus = teamCpus[spec.team] ?: 0.0
+        val gpus = teamGpus[spec.team] ?: 0.0
+        val over = (cpus > 0 && use.cpus > cpus + 1e-6) || (gpus > 0 && use.gpus > gpus + 1e-6)
+        if (over) breach("quota", "${spec.team} uses $use with ${others.size + 1} tasks")
         cancelledAt[job]?.let {
             startsAfterCancellation += piece to clock.now - it
             if (clock.now >
--- a/src/test/kotlin/burlridge/sim/RulesTest.kt
+++ b/src/test/kotlin/burlridge/sim/RulesTest.kt
@@ -63,6 +63,57 @@
         assertEquals(listOf("ran_cancelled"), broken())
     }
 
+    @Test
+    fun `a team above its limit of GPUs`() {
+        val gpus = Rules(world.clock, 54.0, emptyMap(), mapOf("crew-y" to 1.0))
+        gpus.submitted(world.job(1, 2).let { it.copy(size = it.size.copy(gpus = 1.0)) })
+        gpus.started("j-000001/0", one)
+        assertEquals(emptyList<String>(), gpus.broken)
+        gpus.started("j-000001/1", two)
+        assertEquals(listOf("quota"), gpus.broken.map { it.substringBefore(' ') })
+    }
+
+    @Test
+    fun `a job accepted that cannot run, a start after a cancellation, a job about which nobody answers`() {
+        accept()
+        rules.answeredWrongOne("j-000008", 422)
+        rules.answeredWrongOne("j-000009", 201)
+        assertEquals(listOf("accepted_wrong"), broken())
+        rules.askedToAbort(spec.id)
+        rules.answered(spec.id, 200, "withdrawn", false)
+        world.clock.runUntil(3.0)
+        rules.started("j-000001/0", one)
+        assertEquals(listOf("j-000001/0" to 3.0), rules.startsAfterCancellation)
+        assertEquals(emptyList<String>(), rules.unanswered(0.0))
+        assertEquals(listOf(spec.id), rules.unanswered(1.0))
+    }
+
+    @Test
+    fun `a job left waiting beside room`() {
+        rules.submitted(world.job(2, 1))
+        rules.answered("j-000002", 201, "queued", true)
+        rules.waiting { true }
+        world.clock.runUntil(89.0)
+        rules.waiting { true }
+        assertEquals(emptyList<String>(), broken())
+        world.clock.runUntil(91.0)
+        rules.waiting { true }
+        assertEquals(listOf("left_waiting"), broken())
+    }
+
+    @Test
+    fun `an older answer to a later question, and none to an earlier one`() {
+        accept()
+        rules.askedToAbort(spec.id)
+        world.clock.runUntil(1.0)
+        rules.answered(spec.id, 200, "withdrawn", false, askedAt = 0.5)
+        rules.answered(spec.id, 200, "running", false, askedAt = 0.9)
+        assertEquals(emptyList<String>(), broken())
+        rules.answered(spec.id, 200, "running", false, askedAt = 1.0)
+        rules.answered(spec.id, 201, "queued", true, askedAt = 0.9)
+        assertEquals(listOf("went_back", "went_back"), broken())
+    }
+
     @Test
     fun `forgotten, invented, not done and went back`() {
         accept()
--- a/src/test/kotlin/burlridge/sim/Troubles.kt
+++ b/src/test/kotlin/burlridge/sim/Troubles.kt
@@ -24,8 +24,14 @@
         }
     }
 
+    private fun some(count: Int): List<String> =
+        world.cloud
+            .names()
+            .shuffled(luck)
+            .take(count)
+
     private fun one() {
-        when (luck.nextInt(11)) {
+        when (luck.nextInt(16)) {
             0 -> {
                 world.leader()?.let { world.crash(it, luck.nextDouble() * 8) }
             }
@@ -79,6 +85,31 @@
                 world.members.forEach { a -> world.members.forEach { b -> if (a != b) world.cut(a, b, 5 + luck.nextDouble() * 20) } }
             }
 
+            10 -> {
+                world.leader()?.let { world.refuse(it, 5 + luck.nextDouble() * 20) }
+                if (luck.nextBoolean()) world.clock.after(luck.nextDouble() * 6) { world.state.outage(luck.nextDouble() * 30) }
+            }
+
+            11 -> {
+                some(3).forEach { world.mute(it, luck.nextDouble() * 50) }
+            }
+
+            12 -> {
+                some(3).forEach { world.cloud.worker(it)?.hang(luck.nextDouble() * 22) }
+            }
+
+            13 -> {
+                world.keepReportsForNextLeader(luck.nextDouble() * 10)
+            }
+
+            14 -> {
+                val until = world.clock.now + 5 + luck.nextDouble() * 20
+                val fate = if (luck.nextBoolean()) World.Fate.LATE else World.Fate.ANSWER_LOST
+                world.meddle = { _, call ->
+                    if (world.clock.now < until && call.path == "/multi" && luck.nextInt(3) == 0) fate else World.Fate.FINE
+                }
+            }
+
             else -> {
                 world.cloud.down = true
                 world.clock.after(20.0) { world.cloud.down = false }
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -77,6 +77,20 @@
 
     fun has(piece: String): Boolean = tasks.values.any { it.piece == piece && it.standing != "exited" }
 
+    /** Whether [spec] might start here now. */
+    fun hasRoomFor(spec: burlridge.intake.JobSpec): Boolean {
+        val active = tasks.values.filter { it.standing != "exited" }
+        val used =
+            active.sumOf { t ->
+                world.rules
+                    .spec(t.job)
+                    ?.size
+                    ?.cpus ?: 0.0
+            }
+        val fits = used + spec.size.cpus <= world.types.getValue(type).cpus + 1e-6
+        return alive && !hung && token > 0 && recalledAt == null && fits && (spec.spot || !spot) && (spec.zone == null || spec.zone == zone)
+    }
+
     private var hungUntil = 0.0
     private val hung: Boolean get() = world.clock.now < hungUntil
     private val held = ArrayList<() -> Unit>()
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -571,6 +571,34 @@
             ?.takeIf { it.isTextual }
             ?.asText()
 
+    /** Users send what lacks a field, and what fits no machine, every few seconds from now on. */
+    fun sendWrongOnes(until: Double) {
+        if (clock.now > until) return
+        val number = 900_000 + (clock.now * 10).toInt()
+        val lacking = job(number, 1).encode().toString().replace("\"crew\":\"crew-y\",", "")
+        val huge = job(number + 1, 1, cpus = 1000.0).encode().toString()
+        listOf(number to lacking, number + 1 to huge).forEach { (id, body) ->
+            request(
+                "user",
+                anyMember(),
+                "POST",
+                "/api/jobs",
+                body,
+                5.0,
+            ) { status, _ -> rules.answeredWrongOne("j-%06d".format(id), status) }
+        }
+        clock.after(4.0) { sendWrongOnes(until) }
+    }
+
+    /** Watches from now on that no job waits beside room that it might use. */
+    fun watchWaiting() {
+        rules.waiting { spec ->
+            !spec.gang && !spec.oneZone && !spec.spread &&
+                cloud.names().any { cloud.worker(it)?.hasRoomFor(spec) == true }
+        }
+        clock.after(1.0) { watchWaiting() }
+    }
+
     fun run(until: Double) {
         while (clock.now < until) {
             clock.runUntil(minOf(until, clock.now + 1.0))
