--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -154,6 +154,7 @@
             }
 
             is PeerMessage.Accepted -> {
+                intake.heardAccepted(message.job)
                 if (leadership.leading && intake.loaded && !ledger.jobs.containsKey(message.job)) admit(message.job)
             }
 
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -19,6 +19,7 @@
 import burlridge.store.TxnResult
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
+import com.google.common.cache.CacheBuilder
 
 /** What users ask: submit, query, abort. Nothing is held back; what cannot be done now is refused at once. */
 internal class Intake(
@@ -98,7 +99,7 @@
         val helper = if (passedOn) null else peers.served()
         when {
             helper == null -> {
-                submitHere(body, then)
+                submitHere(body, passedOn, then)
             }
 
             !store.served -> {
@@ -108,7 +109,7 @@
             }
 
             else -> {
-                submitHere(body) { first ->
+                submitHere(body, passedOn) { first ->
                     if (first.status != 503) {
                         then(first)
                     } else {
@@ -121,6 +122,7 @@
 
     private fun submitHere(
         body: String,
+        passedOn: Boolean,
         then: (Answer) -> Unit,
     ) {
         val node = Json.parseOrNull(body)
@@ -137,7 +139,35 @@
             fleet.catalog ?: return lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("the machine types are not known yet"), then)
         val never = verdict.neverRuns(spec, types)
         if (never != null) return lookUpOr(spec.id, spec.fingerprint, Answer.error(422, never), then)
-        create(spec, then)
+        if (recent.getIfPresent(spec.id) == null) create(spec, then) else repeated(spec, body.takeUnless { passedOn }, then)
+    }
+
+    /** Jobs accepted lately by whichever member: a repeat of one costs no write, and writes are what all members share least of. */
+    private val recent = CacheBuilder.newBuilder().maximumSize(RECENT_KEPT).build<String, Unit>()
+
+    fun heardAccepted(job: String) = recent.put(job, Unit)
+
+    /** The leader knows at once; [body] is null where the request has been passed on already. */
+    private fun repeated(
+        spec: JobSpec,
+        body: String?,
+        then: (Answer) -> Unit,
+    ) {
+        val leader = leadership.knownLeader?.takeIf { it != ctx.settings.member }
+        if (leader == null || body == null) return lookUpOrCreate(spec, then)
+        peers.ask(leader, "POST", "/api/jobs", body, ASK_S) { if (it == null || it.status == 503) lookUpOrCreate(spec, then) else then(it) }
+    }
+
+    private fun lookUpOrCreate(
+        spec: JobSpec,
+        then: (Answer) -> Unit,
+    ) = rows.read(spec.id) { found ->
+        when {
+            found == null -> then(Answer.unavailable("the state service does not answer"))
+            found is Found.Nothing -> create(spec, then)
+            found.fingerprint == spec.fingerprint -> then(told(spec.id, found.standing))
+            else -> then(changed(spec.id))
+        }
     }
 
     private fun known(spec: JobSpec): Answer? {
@@ -218,13 +248,11 @@
         row: JsonNode,
         stamp: Long,
     ) {
-        if (leadership.leading) {
-            if (loaded) {
-                ledger.admit(spec.id, row, stamp)
-                onAccepted()
-            }
-        } else {
-            peers.tellAccepted(spec.id)
+        heardAccepted(spec.id)
+        peers.tellAccepted(spec.id)
+        if (leadership.leading && loaded) {
+            ledger.admit(spec.id, row, stamp)
+            onAccepted()
         }
     }
 
@@ -411,6 +439,7 @@
         )
 
     private companion object {
+        const val RECENT_KEPT = 5_000L
         const val PATIENCE_S = 0.8
         const val ASK_S = 0.6
         const val PASS_S = 1.0
--- a/src/test/kotlin/burlridge/sim/AnswersTest.kt
+++ b/src/test/kotlin/burlridge/sim/AnswersTest.kt
@@ -136,4 +136,17 @@
         assertTrue(world.rules.starts > 0)
         verdict(*jobs.toTypedArray())
     }
+
+    /** Guards the members' memory of what was accepted: a repeat was tried as a write, and writes are what all share least of. */
+    @Test
+    fun `a submission repeated at every member costs no write`() {
+        world.clock.after(5.0) { world.submit(job) }
+        world.clock.after(15.0) {
+            val before = world.state.writes
+            repeat(20) { i -> world.members.forEach { world.clock.after(0.05 * i) { world.submitOnce(job, it) } } }
+            world.clock.after(2.0) { assertTrue(world.state.writes - before < 10, "${world.state.writes - before} writes") }
+        }
+        world.run(80.0)
+        verdict(job.id)
+    }
 }
