Workers' connections are read by callbacks, without coroutines or channels

Cause: after a change of leader all workers come on new connections; each took two coroutines, a byte channel and two changes of interest a read. Now a connection has none of them until the first request that has to be parsed. A fault mended on the way: a request taken by its known head could be answered after a later one that was parsed; what comes before the answer waits in the socket now.

--- a/src/main/kotlin/burlridge/app/Connection.kt
+++ b/src/main/kotlin/burlridge/app/Connection.kt
@@ -21,29 +21,126 @@
 import kotlin.coroutines.Continuation
 import kotlin.coroutines.resume
 
-/** A socket on the event loop: what arrives goes into [input], which Ktor's parsers read. */
+/**
+ * A socket on the event loop. Until the first bytes that nobody takes whole it is read by callbacks alone, without a coroutine or a
+ * channel: a worker's connection never needs more. From then on a coroutine reads it into [input], for Ktor's parsers.
+ */
 internal class Connection private constructor(
     private val loop: EventLoop,
+    private val scope: CoroutineScope,
     private val channel: SocketChannel,
 ) : EventLoop.Ready {
+    /** Who serves an accepted connection. */
+    internal interface Handler {
+        /** Takes [bytes] where they are one whole request that needs no parser; false where they have to be read from [input]. */
+        fun takeWhole(
+            connection: Connection,
+            bytes: ByteArray,
+        ): Boolean
+
+        /** Serves the connection from [input] until it ends; called once, with the first bytes that were not taken whole. */
+        suspend fun serve(connection: Connection)
+
+        /** The connection has ended, however it did. */
+        fun ended(connection: Connection)
+    }
+
     private val key: SelectionKey = channel.register(loop.selector, 0, this)
-    private val incoming = ByteChannel()
+    private val incoming by lazy(LazyThreadSafetyMode.NONE) { ByteChannel() }
     val input: ByteReadChannel get() = incoming
 
     /** What began the request that is being read, as it came; null between requests. */
     var opening: ByteArray? = null
         private set
 
-    /** Takes a whole request as it comes, between two others; false where it has to be read from [input]. */
-    var shortcut: ((ByteArray) -> Boolean)? = null
+    private var handler: Handler? = null
+
+    /** Whether a coroutine reads the socket. */
+    private var pumping = false
+
+    /** Whether a read is due already, so that a socket that stays readable is not queued twice. */
+    private var readQueued = false
+    private val readTurn =
+        Runnable {
+            readQueued = false
+            if (!pumping && channel.isOpen) readOrWait()
+        }
     private var reading: Continuation<Unit>? = null
     private var writing: Continuation<Unit>? = null
-    val closed: Boolean get() = incoming.isClosedForRead || !channel.isOpen
+    private var answer: Continuation<Unit>? = null
+
+    /** Whether a request that was taken whole still waits for its answer. */
+    private var unanswered = false
+    val closed: Boolean get() = !channel.isOpen || (pumping && incoming.isClosedForRead)
 
     override fun ready(operations: Int) {
-        key.interestOpsAnd(operations.inv())
-        if (operations and READ != 0) reading?.also { reading = null }?.resume(Unit)
-        if (operations and WRITE != 0) writing?.also { writing = null }?.resume(Unit)
+        if (operations and WRITE != 0) {
+            key.interestOpsAnd(WRITE.inv())
+            writing?.also { writing = null }?.resume(Unit)
+        }
+        if (operations and READ == 0) return
+        if (pumping) {
+            key.interestOpsAnd(READ.inv())
+            reading?.also { reading = null }?.resume(Unit)
+        } else if (!readQueued) {
+            readQueued = true
+            loop.enqueue(readTurn)
+        }
+    }
+
+    /** What comes before the last request is answered waits in the socket, so that answers keep the order of their requests. */
+    private fun readOrWait() {
+        if (unanswered) key.interestOpsAnd(READ.inv()) else readWhole()
+    }
+
+    private fun takesWhole(bytes: ByteArray): Boolean {
+        unanswered = true
+        val taken = handler?.takeWhole(this, bytes) == true
+        if (!taken) unanswered = false
+        return taken
+    }
+
+    /** The request that was taken whole has been answered: the next may be read. */
+    fun answered() {
+        unanswered = false
+        if (!channel.isOpen) return
+        if (pumping) answer?.also { answer = null }?.resume(Unit) else key.interestOpsOr(READ)
+    }
+
+    /** One read outside any coroutine: a whole request that needs no parser, or the beginning of everything else. */
+    private fun readWhole() {
+        val bytes =
+            try {
+                read()
+            } catch (_: IOException) {
+                null
+            } ?: return close()
+        if (takesWhole(bytes)) return
+        pumping = true
+        key.interestOpsAnd(READ.inv())
+        opening = bytes
+        scope.launch { pump(bytes) }
+        scope.launch(start = CoroutineStart.UNDISPATCHED) { serve() }
+    }
+
+    private suspend fun serve() {
+        try {
+            handler?.serve(this)
+        } catch (e: CancellationException) {
+            throw e
+        } catch (_: Exception) {
+            // The other side went away or sent rubbish; its connection ends with it.
+        } finally {
+            close()
+        }
+    }
+
+    /** What has arrived; null at the end of the stream. */
+    private fun read(): ByteArray? {
+        loop.buffer.clear()
+        val size = channel.read(loop.buffer)
+        if (size < 0) return null
+        return ByteArray(size).also { loop.buffer.flip().get(it) }
     }
 
     private suspend fun readable() =
@@ -87,25 +184,19 @@
         return if (rest.hasRemaining()) bytes.copyOfRange(rest.position(), bytes.size) else null
     }
 
-    private fun start(scope: CoroutineScope) {
-        channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-        scope.launch { pump() }
-    }
-
-    private suspend fun pump() {
+    private suspend fun pump(first: ByteArray?) {
         try {
+            first?.let { pass(it) }
             while (true) {
                 readable()
-                loop.buffer.clear()
-                val size = channel.read(loop.buffer)
-                if (size < 0) break
-                val bytes = ByteArray(size)
-                loop.buffer.flip().get(bytes)
+                val bytes = read() ?: break
                 val between = opening == null
-                if (between && shortcut?.invoke(bytes) == true) continue
+                if (between && takesWhole(bytes)) {
+                    if (unanswered) suspendCancellableCoroutine { answer = it }
+                    continue
+                }
                 if (between) opening = bytes
-                incoming.writeFully(bytes)
-                incoming.flush()
+                pass(bytes)
             }
             incoming.flushAndClose()
         } catch (e: CancellationException) {
@@ -116,10 +207,17 @@
         }
     }
 
+    private suspend fun pass(bytes: ByteArray) {
+        incoming.writeFully(bytes)
+        incoming.flush()
+    }
+
     fun close() {
         channel.close()
         reading?.also { reading = null }?.resume(Unit)
         writing?.also { writing = null }?.resume(Unit)
+        answer?.also { answer = null }?.resume(Unit)
+        handler?.also { handler = null }?.ended(this)
     }
 
     internal companion object {
@@ -135,12 +233,14 @@
             val channel = SocketChannel.open()
             try {
                 channel.configureBlocking(false)
-                val connection = Connection(loop, channel)
+                val connection = Connection(loop, scope, channel)
                 if (!channel.connect(InetSocketAddress(to.host, to.port))) {
                     connection.writable(SelectionKey.OP_CONNECT)
                     channel.finishConnect()
                 }
-                connection.start(scope)
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                connection.pumping = true
+                scope.launch { connection.pump(null) }
                 return connection
             } catch (e: Throwable) {
                 channel.close()
@@ -158,7 +258,7 @@
             at: Endpoint,
             backlog: Int,
             admit: () -> Boolean,
-            serve: suspend (Connection) -> Unit,
+            accepted: (Connection) -> Handler,
         ) {
             val server = ServerSocketChannel.open()
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true)
@@ -183,24 +283,29 @@
                             } catch (_: IOException) {
                                 return@Ready rest()
                             }
-                        channel.configureBlocking(false)
-                        val connection = Connection(loop, channel)
-                        connection.start(scope)
                         // At once, so that its place counts before the next is let in.
-                        scope.launch(start = CoroutineStart.UNDISPATCHED) {
-                            try {
-                                serve(connection)
-                            } catch (e: CancellationException) {
-                                throw e
-                            } catch (_: Exception) {
-                                // The other side went away or sent rubbish; its connection ends with it.
-                            } finally {
-                                connection.close()
-                            }
-                        }
+                        open(loop, scope, channel, accepted)
                     }
                 }
             key = server.register(loop.selector, SelectionKey.OP_ACCEPT, ready)
         }
+
+        private fun open(
+            loop: EventLoop,
+            scope: CoroutineScope,
+            channel: SocketChannel,
+            accepted: (Connection) -> Handler,
+        ) {
+            try {
+                channel.configureBlocking(false)
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                val connection = Connection(loop, scope, channel)
+                connection.handler = accepted(connection)
+                connection.key.interestOps(READ)
+            } catch (_: IOException) {
+                // Gone before it could be served.
+                channel.close()
+            }
+        }
     }
 }
--- a/src/main/kotlin/burlridge/app/EventLoop.kt
+++ b/src/main/kotlin/burlridge/app/EventLoop.kt
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Runs [work] in a turn of its own, after what is due already. */
+    fun enqueue(work: Runnable) {
+        due.addLast(work)
+    }
+
     fun stop() {
         stopped = true
     }
--- a/src/main/kotlin/burlridge/app/Http.kt
+++ b/src/main/kotlin/burlridge/app/Http.kt
@@ -119,19 +119,24 @@
     ) {
         Connection.listen(loop, scope, at, budget.backlog, ::admit) {
             guests.enter(it, seconds())
-            try {
-                connection(it, scope)
-            } finally {
-                guests.leave(it)
-            }
+            Session(scope)
         }
     }
 
-    private suspend fun connection(
-        connection: Connection,
-        scope: CoroutineScope,
-    ) {
-        connection.shortcut = { bytes -> takesAsItComes(connection, bytes, scope) }
+    private inner class Session(
+        private val scope: CoroutineScope,
+    ) : Connection.Handler {
+        override fun takeWhole(
+            connection: Connection,
+            bytes: ByteArray,
+        ): Boolean = takesAsItComes(connection, bytes, scope)
+
+        override suspend fun serve(connection: Connection) = connection(connection)
+
+        override fun ended(connection: Connection) = guests.leave(connection)
+    }
+
+    private suspend fun connection(connection: Connection) {
         while (true) {
             val request = parseRequest(connection.input) ?: return
             try {
@@ -215,20 +220,29 @@
             } catch (_: IOException) {
                 return connection.close()
             }
-        if (rest == null) {
-            if (close) connection.close()
-        } else {
-            scope.launch {
-                try {
-                    connection.write(rest)
-                    if (close) connection.close()
-                } catch (_: IOException) {
-                    connection.close()
-                }
-            }
+        if (rest == null) written(connection, close) else scope.launch { writeRest(connection, rest, close) }
+    }
+
+    private suspend fun writeRest(
+        connection: Connection,
+        rest: ByteArray,
+        close: Boolean,
+    ) {
+        try {
+            connection.write(rest)
+            written(connection, close)
+        } catch (_: IOException) {
+            connection.close()
         }
     }
 
+    private fun written(
+        connection: Connection,
+        close: Boolean,
+    ) {
+        if (close) connection.close() else connection.answered()
+    }
+
     private suspend fun write(
         connection: Connection,
         answer: Answer,
--- a/src/main/kotlin/burlridge/peer/PeerLinks.kt
+++ b/src/main/kotlin/burlridge/peer/PeerLinks.kt
@@ -35,7 +35,17 @@
 
     fun start(scope: CoroutineScope) {
         settings.others.forEach { peer -> scope.launch { dial(scope, peer.endpoint, queues.getValue(peer.member)) } }
-        Connection.listen(loop, scope, settings.peerBind, BACKLOG, { true }) { connection ->
+        Connection.listen(loop, scope, settings.peerBind, BACKLOG, { true }) { Frames() }
+    }
+
+    /** Reads the frames of one accepted connection. */
+    private inner class Frames : Connection.Handler {
+        override fun takeWhole(
+            connection: Connection,
+            bytes: ByteArray,
+        ): Boolean = false
+
+        override suspend fun serve(connection: Connection) {
             while (true) {
                 val size = connection.input.readInt()
                 if (size !in 1..MOST_FRAME) break
@@ -43,6 +53,8 @@
                 PeerMessage.decodeOrNull(connection.input.readByteArray(size))?.let(receive) ?: unknown()
             }
         }
+
+        override fun ended(connection: Connection) = Unit
     }
 
     private suspend fun dial(
