Reports, commands and the cloud's list are typed and streamed; limits are checked

Now each has one codec, with tests of malformed, missing, odd and doubled fields. params.limits: cpu_share, memory_mb and max_connections absent, zero, negative, no number or absurd give one line that names the field, in check and in serve.

--- a/src/main/kotlin/burlridge/app/Rehearsal.kt
+++ b/src/main/kotlin/burlridge/app/Rehearsal.kt
@@ -30,13 +30,17 @@
                         .put("kind", "wait")
                         .put("class", "lane")
                         .put("within_s", 1.0)
-                    putObject("workers").put("report_s", 3.0).put("lease_s", 24.0).put("cancel_s", 54.0)
+                    putObject("workers")
+                        .put("report_s", 3.0)
+                        .put("lease_s", 24.0)
+                        .put("cancel_s", 54.0)
                     putObject("state")
                         .put("rps", 100.0)
                         .put("write_rps", 25.0)
                         .put("value_kb", 8.0)
                         .put("txn_ops", 8)
                     putObject("cloud").put("rps", 8.0).put("list_lag_s", 3.0)
+                    putObject("limits").put("cpu_share", 0.2).put("memory_mb", 200.0).put("max_connections", 1000)
                 }
             },
         )
@@ -54,6 +58,12 @@
             Effect.Call(0, at, method, path, body.ifEmpty { null }, 1.0)
         }
 
+    /** A call to a port that was free a moment ago, so that nobody is there. */
+    fun refusedCall(): Effect.Call {
+        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        return Effect.Call(0, Endpoint("127.0.0.1", port), "GET", "/", null, 1.0)
+    }
+
     private const val JOB =
         """{"id":"j-000001","lane":"lane","crew":"crew","shape":"array","urgency":"high","pieces":1,"vcpus":1.0,"gpus":0.0,"ramGb":1.0,
         "bundle":"img","pullGb":1.0,"breeds":null,"yard":null,"together":false,"spread":false,"loaners":true,"guessS":1.0,"markEveryS":0.0,
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -20,7 +20,7 @@
     private val controller = Controller(settings, System.nanoTime())
     private val loop = EventLoop()
     private val scope = CoroutineScope(loop + SupervisorJob() + CoroutineExceptionHandler { _, e -> log.error("unexpected", e) })
-    private val budget = ConnectionBudget(settings.mostConnections)
+    private val budget = ConnectionBudget(settings.limits.maxConnections)
     private val client = HttpClient(loop, scope, budget.commands, budget.kept, setOf(settings.state, settings.cloud), settings.state)
     private val server = HttpServer(loop, budget, settings.workers.reportS * QUIET_REPORTS) { step(it) }
     private val metrics = Metrics()
@@ -50,20 +50,24 @@
     }
 
     private fun logMetrics() {
-        if (System.nanoTime() - metricsAt < METRICS_NS) return
+        if (!log.isDebugEnabled || System.nanoTime() - metricsAt < METRICS_NS) return
         metricsAt = System.nanoTime()
         log.debug("metrics: {} net.open={}", metrics.line(controller.work), server.open)
     }
 
     /** A short life with itself as state service, cloud and worker, so that every path of I/O is walked once. */
     fun rehearse() {
+        // A deployment without guarantees rents in another way, and gangs take ways of their own.
+        val gang = GangTimes(settings.workers.reportS, settings.workers.reportS)
+        val unguaranteed = settings.teams.mapValues { it.value.copy(cpus = 0.0) }
+        WarmUp(settings.copy(teams = unguaranteed, workers = settings.workers.copy(gang = gang))).run()
         scope.launch {
             delay(REHEARSAL_MS)
             loop.stop()
         }
         start {
             step(Input.Tick)
-            scope.launch { Rehearsal.calls(serveOn).forEach { client.call(it) } }
+            scope.launch { (Rehearsal.calls(serveOn) + Rehearsal.refusedCall()).forEach { client.call(it) } }
             peers.send(
                 "rehearsal",
                 PeerMessage.Status("drover-0", 1, "drover-0", leading = false, answering = false, storeServed = true),
--- a/src/main/kotlin/burlridge/app/Settings.kt
+++ b/src/main/kotlin/burlridge/app/Settings.kt
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
+import java.io.IOException
 
 /** A settings file that cannot be used; the message is one line meant for the operator. */
 internal class SettingsError(
@@ -13,6 +14,14 @@
     val port: Int,
 ) {
     override fun toString(): String = "$host:$port"
+
+    internal companion object {
+        /** An address and a port, as in `10.1.0.232:9000`; null for anything else. */
+        fun parseOrNull(text: String): Endpoint? {
+            val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65535 } ?: return null
+            return Endpoint(text.substringBeforeLast(':'), port)
+        }
+    }
 }
 
 internal data class PeerMember(
@@ -67,6 +76,14 @@
     val listLagS: Double,
 )
 
+/** What the platform gives a controller's process. */
+internal data class ProcessLimits(
+    /** Part of one core. */
+    val cpuShare: Double,
+    val memoryMb: Double,
+    val maxConnections: Int,
+)
+
 /** What the platform hands a controller at its start. */
 internal data class Settings(
     val member: String,
@@ -81,14 +98,18 @@
     val workers: WorkerTimes,
     val store: StoreLimits,
     val cloudLimits: CloudLimits,
-    val mostConnections: Int,
+    val limits: ProcessLimits,
     val operator: OperatorSettings = OperatorSettings(),
 ) {
     val controllers: Int get() = others.size + 1
 
     internal companion object {
-        /** Where the platform sets no limit. */
-        private const val USUAL_CONNECTIONS = 1000
+        /** Beyond these a limit is taken for a mistake in the file: nobody runs a controller on a hundred cores or a terabyte. */
+        private val CPU_SHARES = 0.001..100.0
+        private val MEMORY_MB = 32.0..1_000_000.0
+
+        /** Fewer connections cannot be shared out between users, workers, members and outside services. */
+        private val CONNECTIONS = 40.0..1_000_000.0
         private const val BYTES_A_KB = 1024
 
         fun parse(text: String): Settings =
@@ -96,6 +117,8 @@
                 read(Json.parse(text))
             } catch (e: JsonProcessingException) {
                 throw SettingsError("the settings are not JSON: ${e.originalMessage}")
+            } catch (e: IOException) {
+                throw SettingsError("the settings are not JSON: ${e.message}")
             }
 
         private fun read(root: JsonNode): Settings {
@@ -127,7 +150,18 @@
                     ),
                 store = storeLimits(state),
                 cloudLimits = CloudLimits(cloud.positive("rps", "params.cloud."), cloud.positive("list_lag_s", "params.cloud.")),
-                mostConnections = params.path("limits").path("max_connections").asInt(USUAL_CONNECTIONS),
+                limits = limits(params.need("limits", "params.")),
+            )
+        }
+
+        private fun limits(node: JsonNode): ProcessLimits {
+            if (!node.isObject) throw SettingsError("params.limits must be an object")
+            val connections = node.within("max_connections", "params.limits.", CONNECTIONS)
+            if (connections != Math.rint(connections)) throw SettingsError("params.limits.max_connections must be a whole number")
+            return ProcessLimits(
+                node.within("cpu_share", "params.limits.", CPU_SHARES),
+                node.within("memory_mb", "params.limits.", MEMORY_MB),
+                connections.toInt(),
             )
         }
 
@@ -189,6 +223,14 @@
     need(name, at).takeIf { it.isNumber && it.asDouble().isFinite() && it.asDouble() > 0 }?.asDouble()
         ?: throw SettingsError("$at$name must be a number above 0")
 
+private fun JsonNode.within(
+    name: String,
+    at: String,
+    range: ClosedFloatingPointRange<Double>,
+): Double =
+    need(name, at).takeIf { it.isNumber && it.asDouble() in range }?.asDouble()
+        ?: throw SettingsError("$at$name must be a number from ${range.start} to ${range.endInclusive}")
+
 private fun JsonNode.items(name: String): List<JsonNode> {
     val node = get(name) ?: return emptyList()
     if (node.isNull) return emptyList()
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -1,8 +1,6 @@
 package burlridge.fleet
 
 import burlridge.app.Context
-import burlridge.app.Endpoint
-import burlridge.app.Json
 import burlridge.app.Outcome
 import burlridge.intake.JobSpec
 import burlridge.intake.Size
@@ -18,7 +16,6 @@
 import burlridge.store.Urgency
 import burlridge.worker.Machine
 import burlridge.worker.Workers
-import com.fasterxml.jackson.databind.JsonNode
 
 /** Machine types, rentals, boots and returns. */
 internal class Fleet(
@@ -80,20 +77,19 @@
 
     private fun list(
         from: String,
-        found: ArrayList<JsonNode>,
+        found: ArrayList<ListedMachine>,
         term: Long,
     ) {
         val after = if (from.isEmpty()) "" else "from=$from&"
         ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=$PAGE", null, CLOUD_TIMEOUT_S) { outcome ->
-            val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
-            val page = body?.get("drovers")?.takeIf { it.isArray }
+            val page = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { MachinePage.decode(it.body) }
             if (page == null || !mine(term)) {
                 listBusy = false
                 return@call
             }
-            found.addAll(page)
-            if (body.path("truncated").asBoolean() && page.size() > 0) {
-                list(page.last().path("id").asText(), found, term)
+            found.addAll(page.machines)
+            if (page.truncated && page.machines.isNotEmpty()) {
+                list(page.machines.last().id, found, term)
             } else {
                 listBusy = false
                 pages = (found.size + PAGE - 1) / PAGE
@@ -102,32 +98,36 @@
         }
     }
 
-    private fun listed(found: List<JsonNode>) {
+    private fun listed(found: List<ListedMachine>) {
         everListed = true
         val names = HashSet<String>()
-        for (node in found) {
-            val id = node.path("id").asText("")
-            if (id.isEmpty()) continue
-            names += id
-            if (workers.isReturned(id)) continue
-            val machine = workers.machine(id)
-            machine.type = node.path("breed").asText(machine.type)
-            machine.zone = node.path("yard").asText(machine.zone)
-            machine.spot = node.path("loaners").asBoolean(machine.spot)
-            machine.listed = true
-            machine.listedAgeS = maxOf(machine.listedAgeS, node.path("ageS").asDouble(0.0))
-            if (machine.rentedAt == 0.0) machine.rentedAt = ctx.now - machine.listedAgeS
-            machine.starting = node.path("standing").asText() == "starting" && !machine.up
-            if (node.path("standing").asText() == "failed" && !machine.dead) {
-                ctx.info("machine $id has failed; returning it")
-                machine.dead = true
-            }
-            if (machine.address == null) {
-                node.path("addr").asText("").let { text ->
-                    text.substringAfterLast(':', "").toIntOrNull()?.let { machine.address = Endpoint(text.substringBeforeLast(':'), it) }
-                }
-            }
+        for (listed in found) {
+            if (listed.id.isEmpty()) continue
+            names += listed.id
+            if (!workers.isReturned(listed.id)) update(workers.machine(listed.id), listed)
         }
+        loseUnlisted(names)
+    }
+
+    private fun update(
+        machine: Machine,
+        listed: ListedMachine,
+    ) {
+        machine.type = listed.type ?: machine.type
+        machine.zone = listed.zone ?: machine.zone
+        machine.spot = listed.spot ?: machine.spot
+        machine.listed = true
+        machine.listedAgeS = maxOf(machine.listedAgeS, listed.ageS)
+        if (machine.rentedAt == 0.0) machine.rentedAt = ctx.now - machine.listedAgeS
+        machine.starting = listed.state == "starting" && !machine.up
+        if (listed.state == "failed" && !machine.dead) {
+            ctx.info("machine ${machine.id} has failed; returning it")
+            machine.dead = true
+        }
+        if (machine.address == null) machine.address = listed.address
+    }
+
+    private fun loseUnlisted(names: Set<String>) {
         // A list may be older than the one before, so only a machine older than any list can be is missed from it.
         // One that only the claims of an earlier leader name is older than that leader's end.
         val settled = listAt > leadership.electedAt + lag * OLDEST_LIST
--- /dev/null
+++ b/src/main/kotlin/burlridge/fleet/MachineList.kt
@@ -0,0 +1,82 @@
+package burlridge.fleet
+
+import burlridge.app.Endpoint
+import burlridge.app.JsonStream
+import burlridge.app.eachField
+import burlridge.app.eachObject
+import burlridge.app.flagOrNull
+import burlridge.app.numberOrNull
+import burlridge.app.textOrNull
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.core.JsonToken
+
+/** A machine as the cloud's list describes it. Fields that are absent or of another type have their default. */
+internal data class ListedMachine(
+    val id: String,
+    val address: Endpoint? = null,
+    val type: String? = null,
+    val zone: String? = null,
+    val spot: Boolean? = null,
+    val state: String = "",
+    /** Seconds since the rental was asked for, at the time that the list describes. */
+    val ageS: Double = 0.0,
+)
+
+/** One page of the cloud's list of machines. */
+internal data class MachinePage(
+    val machines: List<ListedMachine>,
+    /** Whether more machines follow. */
+    val truncated: Boolean,
+) {
+    internal companion object {
+        /** Null for what is no such page. */
+        fun decode(body: String): MachinePage? = JsonStream.decodeObject(body, ::readPage)
+    }
+}
+
+/** Of a field that stands twice the last one counts. */
+private fun readPage(parser: JsonParser): MachinePage? {
+    var machines: List<ListedMachine>? = null
+    var truncated = false
+    parser.eachField {
+        when (it) {
+            "drovers" -> machines = readMachines(parser)
+            "truncated" -> truncated = parser.flagOrNull() ?: false
+            else -> parser.skipChildren()
+        }
+    }
+    return machines?.let { MachinePage(it, truncated) }
+}
+
+private fun readMachines(parser: JsonParser): List<ListedMachine>? {
+    if (parser.currentToken() != JsonToken.START_ARRAY) {
+        parser.skipChildren()
+        return null
+    }
+    val found = ArrayList<ListedMachine>()
+    parser.eachObject { found += readMachine(parser) }
+    return found
+}
+
+private fun readMachine(parser: JsonParser): ListedMachine {
+    var id = ""
+    var address: Endpoint? = null
+    var type: String? = null
+    var zone: String? = null
+    var spot: Boolean? = null
+    var state = ""
+    var ageS = 0.0
+    parser.eachField {
+        when (it) {
+            "id" -> id = parser.textOrNull().orEmpty()
+            "addr" -> address = parser.textOrNull()?.let(Endpoint::parseOrNull)
+            "breed" -> type = parser.textOrNull()
+            "yard" -> zone = parser.textOrNull()
+            "loaners" -> spot = parser.flagOrNull()
+            "standing" -> state = parser.textOrNull().orEmpty()
+            "ageS" -> ageS = parser.numberOrNull() ?: 0.0
+            else -> parser.skipChildren()
+        }
+    }
+    return ListedMachine(id, address, type, zone, spot, state, ageS)
+}
--- a/src/main/kotlin/burlridge/worker/Commands.kt
+++ b/src/main/kotlin/burlridge/worker/Commands.kt
@@ -2,7 +2,6 @@
 
 import burlridge.app.Context
 import burlridge.app.Endpoint
-import burlridge.app.Json
 import burlridge.app.Outcome
 import burlridge.intent.Claim
 import burlridge.intent.Ledger
@@ -10,8 +9,6 @@
 import burlridge.intent.Standing
 import burlridge.leadership.Leadership
 import burlridge.peer.Peers
-import com.fasterxml.jackson.databind.JsonNode
-import com.fasterxml.jackson.databind.node.ArrayNode
 
 /** Commands straight to the workers, and what becomes of them. */
 internal class Commands(
@@ -20,7 +17,7 @@
     private val ledger: Ledger,
     private val peers: Peers,
     private val reach: Reach,
-    private val words: Orders,
+    private val reconciler: ReportReconciler,
     private val events: Events,
 ) {
     internal interface Events {
@@ -29,7 +26,7 @@
         /** The answer to a command is a report. */
         fun heard(
             machine: Machine,
-            report: JsonNode,
+            report: WorkerReport,
         )
 
         fun nextToken(): Long
@@ -58,24 +55,20 @@
         if (!leadership.standing && !leadership.answering) return
         val claims = ledger.claims.byMachine[machine.id]?.values
         if (claims.isNullOrEmpty()) return
-        if (claims.none { it.phase <= Phase.SENT || it.stopGraceS != null || words.withdrawn(it) }) return
-        val orders = Json.arr()
-        val starts = if (leadership.standing) startsOf(machine) else emptyList()
-        val stops = claims.filter { (leadership.standing || words.withdrawn(it)) && wantsStop(it) }
+        if (claims.none { it.phase <= Phase.SENT || it.stopGraceS != null || reconciler.withdrawn(it) }) return
+        val starts = if (leadership.standing) startsOf(machine).take(MOST_COMMANDS) else emptyList()
+        val stops = claims.filter { (leadership.standing || reconciler.withdrawn(it)) && wantsStop(it) }
         val fencing = leadership.standing && machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
         if (starts.isEmpty() && stops.isEmpty() && !fencing) return
-        stops.forEach {
-            it.stopSentAt = ctx.now
-            orders.add(words.order("halt", it.piece, it.run, if (words.withdrawn(it)) 0.0 else it.stopGraceS ?: 0.0))
-        }
-        starts.take(MOST_ORDERS).forEach {
-            it.phase = Phase.SENT
-            orders.add(words.order("run", it.piece, it.run))
-        }
+        stops.forEach { it.stopSentAt = ctx.now }
+        starts.forEach { it.phase = Phase.SENT }
         if (starts.isNotEmpty()) machine.runToken = machine.token
-        send(machine, address, orders, starts.take(MOST_ORDERS), stops)
+        send(machine, address, stops.map { stop(it) } + starts.map { WorkerCommand.Start(it.piece, it.run) }, starts, stops)
     }
 
+    private fun stop(claim: Claim) =
+        WorkerCommand.Stop(claim.piece, claim.run, if (reconciler.withdrawn(claim)) 0.0 else claim.stopGraceS ?: 0.0)
+
     private fun startsOf(machine: Machine): List<Claim> =
         if (machine.hears) {
             ledger.claims.byMachine[machine.id]
@@ -95,16 +88,16 @@
 
     private fun wantsStop(claim: Claim): Boolean {
         if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
-        if (words.withdrawn(claim)) return true
+        if (reconciler.withdrawn(claim)) return true
         if (claim.phase == Phase.SAVING) return false
-        if (claim.stopTold && words.savesAsGang(claim)) return false
+        if (claim.stopTold && reconciler.savesAsGang(claim)) return false
         return claim.stopGraceS != null
     }
 
     private fun send(
         machine: Machine,
         address: Endpoint,
-        orders: ArrayNode,
+        commands: List<WorkerCommand>,
         starts: List<Claim>,
         stops: List<Claim> = emptyList(),
     ) {
@@ -112,18 +105,13 @@
         ctx.count("worker.commands")
         val token = machine.token
         val session = machine.session
-        val body =
-            Json.obj {
-                put("baton", token)
-                put("stint", session)
-                set<JsonNode>("orders", orders)
-            }
+        val body = WorkerCommandCodec.request(token, session, commands)
         val term = leadership.term
-        deliver(machine, address, Json.write(body)) { outcome ->
+        deliver(machine, address, body) { outcome ->
             if (!leadership.leading || leadership.term != term || !events.knows(machine)) return@deliver
             machine.commanding = false
             val answer = outcome as? Outcome.Answered
-            val report = answer?.let { Json.parseOrNull(it.body) }
+            val report = answer?.let { WorkerReport.decode(it.body) }
             when {
                 answer != null && report != null && (answer.status == 200 || answer.status == 409) -> {
                     machine.refusals = 0
@@ -198,7 +186,7 @@
         val address = machine.address ?: return
         val wanted = machine.up || !ledger.claims.byMachine[machine.id].isNullOrEmpty()
         if (!wanted || machine.commanding || machine.leaving || ctx.now < machine.nextCommandAt || !leadership.standing) return
-        if (ctx.now > machine.silentSince + times.reportS * OVERDUE_REPORTS) send(machine, address, Json.arr(), emptyList())
+        if (ctx.now > machine.silentSince + times.reportS * OVERDUE_REPORTS) send(machine, address, emptyList(), emptyList())
     }
 
     /** Now and then one machine of a zone that is cut off is tried, with nothing to do for it. */
@@ -211,7 +199,7 @@
                     it.zone == zone && it.up && !it.lapsed && it.via == null && it.address != null && !it.commanding && !it.leaving
                 }
             val machine = there.randomOrNull(ctx.random) ?: continue
-            send(machine, machine.address ?: continue, Json.arr(), emptyList())
+            send(machine, machine.address ?: continue, emptyList(), emptyList())
         }
     }
 
@@ -230,7 +218,7 @@
     }
 
     private companion object {
-        const val MOST_ORDERS = 100
+        const val MOST_COMMANDS = 100
         const val RETRY_S = 0.5
         const val REFUSALS_TO_LEAVE = 2
         const val OVERDUE_REPORTS = 1.6
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -2,17 +2,6 @@
 
 import burlridge.app.Endpoint
 
-/** A task as a worker reports it. */
-internal data class Reported(
-    val piece: String,
-    val run: Int,
-    val standing: String,
-    val cause: String?,
-    val kept: Boolean,
-) {
-    val exited: Boolean get() = standing == "exited"
-}
-
 /** A machine as the leader knows it, from its worker's reports and from the cloud's list. */
 internal class Machine(
     val id: String,
@@ -33,7 +22,7 @@
     var session: Long = 0
     var tally: Long = -1
     var echoed: Long = 0
-    var reported: Map<String, Reported> = emptyMap()
+    var reported: Map<String, ReportedTask> = emptyMap()
     var strays: Set<String> = emptySet()
     var lastReportAt: Double = -1e9
     var recallAt: Double? = null
@@ -86,4 +75,18 @@
     val up: Boolean get() = session > 0
 
     val hears: Boolean get() = echoed >= mustEcho
+
+    /** Takes over what [report] says of the machine itself and of its tasks; its order among reports is the caller's to judge. */
+    fun update(
+        report: WorkerReport,
+        now: Double,
+    ) {
+        type = report.type ?: type
+        zone = report.zone ?: zone
+        spot = report.spot ?: spot
+        address = report.address ?: address
+        starting = false
+        recallAt = report.noticeS?.let { now + it }
+        reported = report.tasks
+    }
 }
--- a/src/main/kotlin/burlridge/worker/Relay.kt
+++ b/src/main/kotlin/burlridge/worker/Relay.kt
@@ -31,13 +31,13 @@
         then: (Answer) -> Unit,
     ) {
         if (leader == null) return then(redirect(null))
-        val report = Json.parseOrNull(body)
-        val worker = report?.path("drover")?.takeIf { it.isTextual }?.asText() ?: return then(Answer.error(400, "not a report"))
+        val report = WorkerReport.decode(body) ?: return then(Answer.error(400, "not a report"))
+        val worker = report.machine
         val known = seen[worker]?.takeIf { it.leader == leader }
         val stuck = known != null && (relaying(known) || ctx.now < known.sentAwayAt + times.leaseS / 2)
         // Where the leader itself says that it hears nobody there, no worker need find that out; but one that has been relayed
         // for a lease tries the way once.
-        val apart = known?.relayedSince == null && peers.unheard(leader, report.path("yard").asText(""))
+        val apart = known?.relayedSince == null && peers.unheard(leader, report.zone.orEmpty())
         val before = if (known != null && stuck) known else Seen(leader, ctx.now).also { seen[worker] = it }
         if (!stuck && !apart) return then(redirect(leader))
         before.relayedSince = before.relayedSince ?: ctx.now
@@ -50,8 +50,8 @@
         body: String,
         then: (Answer) -> Unit,
     ) {
-        val port = to.substringAfterLast(':', "").toIntOrNull() ?: return then(Answer(NOT_SENT, ""))
-        ctx.call(Endpoint(to.substringBeforeLast(':'), port), "POST", "/do", body, times.reportS / 2) { outcome ->
+        val address = Endpoint.parseOrNull(to) ?: return then(Answer(NOT_SENT, ""))
+        ctx.call(address, "POST", "/do", body, times.reportS / 2) { outcome ->
             then(
                 when (outcome) {
                     is Outcome.Answered -> Answer(outcome.status, outcome.body)
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/WorkerReport.kt
@@ -0,0 +1,115 @@
+package burlridge.worker
+
+import burlridge.app.Endpoint
+import burlridge.app.JsonStream
+import burlridge.app.eachField
+import burlridge.app.eachObject
+import burlridge.app.flagOrNull
+import burlridge.app.numberOrNull
+import burlridge.app.textOrNull
+import burlridge.app.wholeOrNull
+import com.fasterxml.jackson.core.JsonParser
+
+/** A task as a worker reports it. */
+internal data class ReportedTask(
+    /** The task's name, `<job>/<index>`. */
+    val task: String,
+    val attempt: Int,
+    /** The state in the words of the protocol; later versions of a worker may use words that are not known here. */
+    val state: String,
+    /** Why the task ended; null while it has not. */
+    val exitReason: String?,
+    /** Whether a stopped task saved its progress. */
+    val saved: Boolean,
+) {
+    val exited: Boolean get() = state == "exited"
+
+    /** The task and its attempt as one name. */
+    val key: String get() = taskKey(task, attempt)
+}
+
+/** A task and its attempt, as one name. */
+internal fun taskKey(
+    task: String,
+    attempt: Int,
+): String = "$task@$attempt"
+
+/** What a worker says of its machine and of all tasks on it. Fields that are absent or of another type have their default. */
+internal data class WorkerReport(
+    val machine: String,
+    val address: Endpoint? = null,
+    val type: String? = null,
+    val zone: String? = null,
+    val spot: Boolean? = null,
+    val session: Long = 0,
+    /** The number of the message within its session; a larger one is newer. */
+    val sequence: Long = 0,
+    /** The highest fencing token that the worker has seen. */
+    val token: Long = 0,
+    /** Seconds until the cloud takes the machine back; null without such a notice. */
+    val noticeS: Double? = null,
+    val tasks: Map<String, ReportedTask> = emptyMap(),
+) {
+    internal companion object {
+        /**
+         * Reads [body] as it is parsed, without a tree: reports are most of what a leader reads. Null for what is not one JSON object
+         * that names a machine.
+         */
+        fun decode(body: String): WorkerReport? = JsonStream.decodeObject(body, ::readReport)
+    }
+}
+
+/** Of a field that stands twice the last one counts. */
+private fun readReport(parser: JsonParser): WorkerReport? {
+    var machine = ""
+    var address: Endpoint? = null
+    var type: String? = null
+    var zone: String? = null
+    var spot: Boolean? = null
+    var session = 0L
+    var sequence = 0L
+    var token = 0L
+    var noticeS: Double? = null
+    var tasks: Map<String, ReportedTask> = emptyMap()
+    parser.eachField {
+        when (it) {
+            "drover" -> machine = parser.textOrNull().orEmpty()
+            "addr" -> address = parser.textOrNull()?.let(Endpoint::parseOrNull)
+            "breed" -> type = parser.textOrNull()
+            "yard" -> zone = parser.textOrNull()
+            "loaners" -> spot = parser.flagOrNull()
+            "stint" -> session = parser.wholeOrNull() ?: 0L
+            "tally" -> sequence = parser.wholeOrNull() ?: 0L
+            "baton" -> token = parser.wholeOrNull() ?: 0L
+            "recallS" -> noticeS = parser.numberOrNull()
+            "pieces" -> tasks = readTasks(parser)
+            else -> parser.skipChildren()
+        }
+    }
+    return WorkerReport(machine, address, type, zone, spot, session, sequence, token, noticeS, tasks).takeIf { machine.isNotEmpty() }
+}
+
+private fun readTasks(parser: JsonParser): Map<String, ReportedTask> {
+    val found = LinkedHashMap<String, ReportedTask>()
+    parser.eachObject { readTask(parser).let { found[it.key] = it } }
+    return found
+}
+
+private fun readTask(parser: JsonParser): ReportedTask {
+    var task = ""
+    var attempt = 0
+    var state = ""
+    var exitReason: String? = null
+    var saved = false
+    parser.eachField {
+        when (it) {
+            "piece" -> task = parser.textOrNull().orEmpty()
+            "try" -> attempt = (parser.wholeOrNull() ?: 0L).toInt()
+            "standing" -> state = parser.textOrNull().orEmpty()
+            "cause" -> exitReason = parser.textOrNull()
+            "kept" -> saved = parser.flagOrNull() ?: false
+            else -> parser.skipChildren()
+        }
+    }
+    return ReportedTask(task, attempt, state, exitReason, saved)
+}
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -2,20 +2,13 @@
 
 import burlridge.app.Answer
 import burlridge.app.Context
-import burlridge.app.Endpoint
-import burlridge.app.Json
-import burlridge.app.Outcome
 import burlridge.intake.JobSpec
 import burlridge.intent.Claim
-import burlridge.intent.Gangs
 import burlridge.intent.Job
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
-import burlridge.intent.Standing
 import burlridge.leadership.Leadership
 import burlridge.peer.Peers
-import com.fasterxml.jackson.databind.JsonNode
-import com.fasterxml.jackson.databind.node.ArrayNode
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
 
 /** Reports in, commands out; says when a claimed task is known to be gone from its machine. */
@@ -34,8 +27,8 @@
     private var tokens = 0L
     var loaded: Boolean = false
     private val reach = Reach(ctx)
-    private val words = Orders(ledger) { nextToken() }
-    private val commands = Commands(ctx, leadership, ledger, peers, reach, words, this)
+    private val reconciler = ReportReconciler(ledger) { nextToken() }
+    private val commands = Commands(ctx, leadership, ledger, peers, reach, reconciler, this)
     private val leaving = Leaving(ctx, ledger, this)
 
     fun reaches(machine: Machine): Boolean = machine.via != null || !reach.isLeft(machine.zone)
@@ -103,9 +96,8 @@
         val again = known?.lastReport?.numberOf(body)
         if (known != null && again != null) return answer(known, via, takeAgain(known, again))
         ctx.count("worker.reports_read")
-        val report = Json.parseOrNull(body)
-        val id = report?.path("drover")?.takeIf { it.isTextual }?.asText()
-        if (report == null || id.isNullOrEmpty()) return Answer.error(400, "not a report")
+        val report = WorkerReport.decode(body) ?: return Answer.error(400, "not a report")
+        val id = report.machine
         if (id in returned) return Answer.unavailable("this machine has been returned")
         val machine = machine(id)
         val fresh = take(machine, report)
@@ -144,32 +136,24 @@
             machine.beatAt = ctx.now
             machine.lapsed = false
         }
-        val orders = Json.arr()
-        if (fresh && loaded) {
-            reconcile(machine)
-            words.halts(machine, orders)
-            words.reaps(machine, orders)
-            onChange()
-        }
-        return Answer(200, if (orders.isEmpty) "{\"baton\":${machine.token},\"orders\":[]}" else Json.write(withOrders(machine, orders)))
+        val due = if (fresh && loaded) reconcileAndAnswer(machine) else emptyList()
+        return Answer(200, WorkerCommandCodec.answer(machine.token, due))
     }
 
-    private fun withOrders(
-        machine: Machine,
-        orders: ArrayNode,
-    ): JsonNode =
-        Json.obj {
-            put("baton", machine.token)
-            set<JsonNode>("orders", orders)
-        }
+    private fun reconcileAndAnswer(machine: Machine): List<WorkerCommand> {
+        reconcile(machine)
+        val due = reconciler.stops(machine) + reconciler.removals(machine)
+        onChange()
+        return due
+    }
 
     /** Takes over what a report says; false when it is older than what is known. */
     private fun take(
         machine: Machine,
-        report: JsonNode,
+        report: WorkerReport,
     ): Boolean {
-        val session = report.path("stint").asLong()
-        val tally = report.path("tally").asLong()
+        val session = report.session
+        val tally = report.sequence
         if (session < machine.session || (session == machine.session && tally <= machine.tally)) return false
         if (session != machine.session && machine.up && loaded) loseAll(machine, "its worker began session $session", session)
         if (session != machine.session || machine.tally < 0) {
@@ -181,15 +165,15 @@
         machine.session = session
         machine.tally = tally
         val fencedBefore = fenced(machine)
-        machine.echoed = maxOf(machine.echoed, report.path("baton").asLong())
+        machine.echoed = maxOf(machine.echoed, report.token)
         // Until it has seen our term an earlier leader's answer may have renewed its lease.
         if (!fencedBefore) machine.answeredAt = maxOf(machine.answeredAt, ctx.now)
         machine.lastReportAt = ctx.now
         machine.deafSince = if (machine.hears) null else machine.deafSince ?: ctx.now
         val recalled = machine.recallAt
-        machine.read(report, ctx.now)
+        machine.update(report, ctx.now)
         if (recalled == null && machine.recallAt != null) {
-            ctx.info("machine ${machine.id}: the cloud takes it back in ${report.path("recallS").asDouble()} s")
+            ctx.info("machine ${machine.id}: the cloud takes it back in ${report.noticeS} s")
         }
         return true
     }
@@ -217,9 +201,9 @@
             machine.reported.values
                 .filter {
                     !it.exited && ledger.claims.byMachine[machine.id]
-                        ?.get(it.piece)
-                        ?.run != it.run
-                }.mapTo(HashSet()) { it.piece },
+                        ?.get(it.task)
+                        ?.run != it.attempt
+                }.mapTo(HashSet()) { it.task },
         )
         if (machine.idleSince > 0 && !ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
         if (machine.idleSince == 0.0 && ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
@@ -241,11 +225,11 @@
     private fun seen(
         machine: Machine,
         claim: Claim,
-        report: Reported,
+        report: ReportedTask,
     ) {
         val before = claim.phase
         claim.phase =
-            when (report.standing) {
+            when (report.state) {
                 "fetching" -> {
                     Phase.FETCHING
                 }
@@ -267,7 +251,7 @@
                     ctx.count("worker.unknown_words")
                     ctx.often(
                         "states not known",
-                        "machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.standing.take(WORD)}",
+                        "machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.state.take(WORD)}",
                     )
                     maxOf(before, Phase.FETCHING)
                 }
@@ -297,12 +281,12 @@
     private fun exited(
         machine: Machine,
         claim: Claim,
-        report: Reported,
+        report: ReportedTask,
     ) {
         val job = ledger.jobs[claim.job]
-        ledger.claims.release(claim, lost = report.cause != "done")
+        ledger.claims.release(claim, lost = report.exitReason != "done")
         if (job == null) return
-        when (report.cause) {
+        when (report.exitReason) {
             "done" -> {
                 machine.failures = 0
                 claim.startedAt?.let {
@@ -314,7 +298,7 @@
             }
 
             "stopped" -> {
-                ctx.often("tasks stopped", "task ${claim.piece} stopped on ${machine.id}, saved: ${report.kept}")
+                ctx.often("tasks stopped", "task ${claim.piece} stopped on ${machine.id}, saved: ${report.saved}")
             }
 
             "error" -> {
@@ -333,15 +317,15 @@
             "peers", "incomplete" -> {
                 ctx.often(
                     "gang tasks ended without their gang",
-                    "task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.cause}",
+                    "task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.exitReason}",
                 )
             }
 
             else -> {
-                if (report.cause !in REFUSALS) ctx.count("worker.unknown_words")
-                ctx.often("starts refused", "start of ${claim.piece} refused by ${machine.id}: ${report.cause?.take(WORD)}")
+                if (report.exitReason !in REFUSALS) ctx.count("worker.unknown_words")
+                ctx.often("starts refused", "start of ${claim.piece} refused by ${machine.id}: ${report.exitReason?.take(WORD)}")
                 job.holdOff(claim.task, ctx.now + times.reportS / 3)
-                if (report.cause == "full") machine.notBefore = ctx.now + times.reportS / 3
+                if (report.exitReason == "full") machine.notBefore = ctx.now + times.reportS / 3
             }
         }
     }
@@ -378,7 +362,7 @@
 
     override fun heard(
         machine: Machine,
-        report: JsonNode,
+        report: WorkerReport,
     ) {
         if (!take(machine, report)) return
         // What it says next may be what it said before this.
--- a/src/test/kotlin/burlridge/app/SettingsTest.kt
+++ b/src/test/kotlin/burlridge/app/SettingsTest.kt
@@ -42,6 +42,33 @@
         assertEquals("params.workers.gang_wait_s must be a number above 0", complaint(both.replace("50.0", "0")))
     }
 
+    @Test
+    fun `limits of the process that are absent, zero, negative, no number or absurd are named`() {
+        val limits = Settings.parse(good).limits
+        assertEquals(ProcessLimits(0.2, 200.0, 1000), limits)
+        val ranges =
+            mapOf(
+                "cpu_share" to ("0.2" to "a number from 0.001 to 100.0"),
+                "memory_mb" to ("200.0" to "a number from 32.0 to 1000000.0"),
+                "max_connections" to ("1000" to "a number from 40.0 to 1000000.0"),
+            )
+        for ((field, usual) in ranges) {
+            val (value, range) = usual
+            val whole = "\"$field\":$value"
+            assertEquals("params.limits.$field is missing", complaint(good.replace(whole, "\"other\":1")))
+            assertEquals("params.limits.$field is missing", complaint(good.replace(whole, "\"$field\":null")))
+            for (wrong in listOf("0", "-1", "\"7\"", "true", "[]", "{}", "1e99")) {
+                assertEquals("params.limits.$field must be $range", complaint(good.replace(whole, "\"$field\":$wrong")), wrong)
+            }
+        }
+        assertEquals(
+            "params.limits.max_connections must be a whole number",
+            complaint(good.replace("\"max_connections\":1000", "\"max_connections\":1000.5")),
+        )
+        assertEquals("params.limits is missing", complaint(good.replace("\"limits\"", "\"limit\"")))
+        assertEquals("params.limits must be an object", complaint(good.replace(Regex("\"limits\":\\{[^}]*}"), "\"limits\":7")))
+    }
+
     @Test
     fun `operators' settings refuse unknown keys and figures out of range`() {
         assertEquals(7, OperatorSettings.parse("[placement]\nsample = 7\n").sample)
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -138,7 +138,8 @@
             "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
             "objectives":[$lanes],
             "workers":{"report_s":$reportS,"lease_s":$leaseS,$gangTimes"cancel_s":$cancelS},
-            "state":{"rps":200,"write_rps":$writeRps,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3}}}""",
+            "state":{"rps":200,"write_rps":$writeRps,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3},
+            "limits":{"cpu_share":0.25,"memory_mb":268.0,"max_connections":2000}}}""",
         )
     }
 
--- /dev/null
+++ b/src/test/kotlin/burlridge/worker/WorkerReportTest.kt
@@ -0,0 +1,70 @@
+package burlridge.worker
+
+import burlridge.app.Endpoint
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+/** Reports come from outside: what is malformed is refused, and what is missing or of another type has its default. */
+internal class WorkerReportTest {
+    private val whole =
+        """{"drover":"m-000231","addr":"10.1.0.232:9000","breed":"g8","yard":"a","loaners":true,"stint":2,"tally":88,"baton":41,
+        "recallS":7.5,"pieces":[{"piece":"j-000412/3","try":2,"standing":"running"},
+        {"piece":"j-000398/0","try":1,"standing":"exited","cause":"stopped","kept":true}],"later":{"deep":[1,{"a":2}]}}"""
+
+    @Test
+    fun `a whole report is read, and unknown fields are ignored`() {
+        val tasks =
+            listOf(
+                ReportedTask("j-000412/3", 2, "running", null, saved = false),
+                ReportedTask("j-000398/0", 1, "exited", "stopped", saved = true),
+            )
+        val expected =
+            WorkerReport("m-000231", Endpoint("10.1.0.232", 9000), "g8", "a", true, 2, 88, 41, 7.5, tasks.associateBy { it.key })
+        assertEquals(expected, WorkerReport.decode(whole))
+    }
+
+    @Test
+    fun `what is not one object that names a machine is refused`() {
+        val malformed =
+            listOf(
+                "",
+                "null",
+                "[]",
+                "7",
+                "{}",
+                "{\"drover\":7}",
+                "{\"drover\":\"\"}",
+                "{\"drover\":null}",
+                "{\"drover\":\"m-1\"",
+                "{\"drover\":\"m-1\"} {}",
+                "{\"drover\":\"m-1\"}x",
+                "{\"drover\":\"m-1\",}",
+                "{\"drover\":\"m-1\",\"tally\":1e}",
+                "{\"drover\":\"m-1\",\"tally\":99999999999999999999}",
+                "{\"drover\":\"m-1\",\"pieces\":[{\"piece\":\"j-1/0\"]}",
+                "{\"drover\":\"m-1\",\"later\":" + "[".repeat(5_000) + "]".repeat(5_000) + "}",
+            )
+        malformed.forEach { assertNull(WorkerReport.decode(it), it.take(60)) }
+    }
+
+    @Test
+    fun `fields of another type have their default`() {
+        val odd =
+            """{"drover":"m-1","addr":"nowhere","breed":[1],"yard":{"a":1},"loaners":"yes","stint":"2","tally":null,"baton":true,
+            "recallS":"soon","pieces":{"piece":"j-1/0"}}"""
+        assertEquals(WorkerReport("m-1"), WorkerReport.decode(odd))
+        assertNull(WorkerReport.decode("""{"drover":"m-1","addr":"10.0.0.1:70000"}""")?.address)
+        assertEquals(emptyMap<String, ReportedTask>(), WorkerReport.decode("""{"drover":"m-1","pieces":[1,"x",[],null]}""")?.tasks)
+        val task = ReportedTask("j-1/0", 0, "", null, saved = false)
+        assertEquals(
+            mapOf(task.key to task),
+            WorkerReport.decode("""{"drover":"m-1","pieces":[{"piece":"j-1/0","try":"1","standing":[],"cause":5,"kept":1}]}""")?.tasks,
+        )
+    }
+
+    @Test
+    fun `of a field that stands twice the last one counts`() {
+        assertEquals(WorkerReport("m-2", sequence = 9), WorkerReport.decode("""{"drover":"m-1","tally":8,"drover":"m-2","tally":9}"""))
+    }
+}
