--- a/src/main/kotlin/burlridge/app/EventLoop.kt
+++ b/src/main/kotlin/burlridge/app/EventLoop.kt
@@ -41,6 +41,9 @@
     /** What goes before all bulk work: the leader's lease hangs on it, and a slow leader must not be taken for a dead one. */
     private val first = ArrayDeque<Runnable>()
     private val timers = PriorityQueue<Timer>()
+
+    /** Timeouts that have run out, to be looked at again once the sockets have been. */
+    private val afterSelect = ArrayList<Runnable>()
     private var nextOrder = 0L
     private var cancelled = 0
     private var stopped = false
@@ -86,6 +89,8 @@
             }
             fire()
             select()
+            due.addAll(afterSelect)
+            afterSelect.clear()
         }
     }
 
@@ -105,7 +110,7 @@
     }
 
     private fun select() {
-        if (due.isNotEmpty() || first.isNotEmpty()) {
+        if (due.isNotEmpty() || first.isNotEmpty() || afterSelect.isNotEmpty()) {
             selector.selectNow()
         } else {
             val waitMs = timers.peek()?.let { (it.at - System.nanoTime() + NS_A_MS - 1) / NS_A_MS } ?: LONGEST_WAIT_MS
@@ -149,8 +154,32 @@
         block: Runnable,
         context: CoroutineContext,
     ): DisposableHandle {
-        val timer = after(timeMillis, block)
-        return DisposableHandle { cancel(timer) }
+        val timeout = Timeout(block)
+        val timer = after(timeMillis, timeout)
+        return DisposableHandle {
+            timeout.disposed = true
+            cancel(timer)
+        }
+    }
+
+    /**
+     * A timeout that counts only what came too late, not what this loop was too slow to read: before [block] runs, the sockets are looked
+     * at and all that is due gets its turn, as often as an answer takes turns from its socket to whoever waits for it. An overloaded
+     * leader else takes live workers for unreachable, and what it claims for them anew only adds to its load.
+     */
+    private inner class Timeout(
+        private val block: Runnable,
+    ) : Runnable {
+        var disposed = false
+        private var roundsLeft = TIMEOUT_ROUNDS
+
+        override fun run() {
+            when {
+                disposed -> Unit
+                roundsLeft-- > 0 -> afterSelect.add(this)
+                else -> block.run()
+            }
+        }
     }
 
     private companion object {
@@ -160,5 +189,8 @@
         const val NS_A_MS = 1_000_000L
         const val LONGEST_WAIT_MS = 1_000L
         const val SPARE_TIMERS = 64
+
+        /** The read of a socket, the parser that waits for it, and whoever waits for the parser: one round each, and one to spare. */
+        const val TIMEOUT_ROUNDS = 4
     }
 }
--- a/src/test/kotlin/burlridge/app/EventLoopTest.kt
+++ b/src/test/kotlin/burlridge/app/EventLoopTest.kt
@@ -3,9 +3,14 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
 
 internal class EventLoopTest {
     /** Guards the leader's lease: its renewal and the answer to it waited behind hundreds of reports, and a slow leader passed for dead. */
@@ -32,4 +37,46 @@
         assertTrue(order.indexOf("timer") in 6..100, "the timer came after ${order.indexOf("timer")} others")
         assertEquals(502, order.size)
     }
+
+    /** Guards against taking a live worker for unreachable: its answer was there in time, and only this process was too slow to read it. */
+    @Test
+    fun `an answer that came in time counts, however late it is read`() {
+        val loop = EventLoop()
+        val scope = CoroutineScope(loop)
+        val received = CountDownLatch(1)
+        val standsStill = CountDownLatch(1)
+        val answered = CountDownLatch(1)
+        var outcome: Outcome? = null
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    socket.getInputStream().read()
+                    received.countDown()
+                    standsStill.await()
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".encodeToByteArray())
+                    answered.countDown()
+                    socket.getInputStream().readAllBytes()
+                }
+            }
+            val client = HttpClient(loop, scope, 1, 1, emptySet())
+            val target = Endpoint("127.0.0.1", server.localPort)
+            scope.launch {
+                launch {
+                    outcome = client.call(Effect.Call(1, target, "GET", "/", null, TIMEOUT_S))
+                    loop.stop()
+                }
+                // Stands still once the request is out, until the answer is there and the time is over.
+                while (received.count > 0) yield()
+                standsStill.countDown()
+                answered.await()
+                System.nanoTime().let { from -> while (System.nanoTime() - from < TIMEOUT_S * 1e9) Unit }
+            }
+            loop.run()
+        }
+        assertEquals(Outcome.Answered(200, "{}"), outcome)
+    }
+
+    private companion object {
+        const val TIMEOUT_S = 0.2
+    }
 }
