--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -1,6 +1,12 @@
 package burlridge.app
 
+import burlridge.core.Answer
+import burlridge.core.Context
+import burlridge.core.Effect
+import burlridge.core.Input
+import burlridge.core.Settings
 import burlridge.fleet.Fleet
+import burlridge.intake.Found
 import burlridge.intake.Intake
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
@@ -19,19 +25,19 @@
     private val settings: Settings,
     seed: Long,
 ) : Leadership.Events {
-    private val ctx = Context(settings, seed)
-    private val store = Store(ctx)
-    private val leadership = Leadership(ctx, store, this)
-    private val ledger = Ledger(ctx, store, leadership)
-    private val peers = Peers(ctx)
-    private val workers = Workers(ctx, leadership, ledger, peers) { placeSoon() }
-    private val fleet = Fleet(ctx, store, leadership, ledger, workers)
-    private val placement = Placement(ctx, ledger, workers, fleet)
-    private val versions = Versions(ctx, store)
-    private val intake = Intake(ctx, store, leadership, ledger, fleet, peers, versions, { placeSoon() }, workers::stop)
-    val work: Map<String, Long> get() = ctx.work
-    val leads: Boolean get() = leadership.standing && intake.loaded
-    private val relay = Relay(ctx, peers)
+    private val context = Context(settings, seed)
+    private val store = Store(context)
+    private val leadership = Leadership(context, store, this)
+    private val ledger = Ledger(context, store, leadership)
+    private val peers = Peers(context)
+    private val workers = Workers(context, leadership, ledger, peers) { placeSoon() }
+    private val fleet = Fleet(context, store, leadership, ledger, workers)
+    private val placement = Placement(context, ledger, workers, fleet)
+    private val versions = Versions(context, store)
+    private val intake = Intake(context, store, leadership, ledger, fleet, peers, versions, { placeSoon() }, workers::stop)
+    val work: Map<String, Long> get() = context.work
+    val leads: Boolean get() = leadership.holdsLease && intake.loaded
+    private val relay = Relay(context, peers)
     private var announceAt = 0.0
     private var followAt = 0L
     private var placing = false
@@ -45,32 +51,32 @@
         now: Double,
         wallMs: Long,
     ): List<Effect> {
-        ctx.begin(now, wallMs)
+        context.begin(now, wallMs)
         when (input) {
             Input.Tick -> tick()
-            is Input.Request -> request(input.method, input.path, input.body) { ctx.answer(input.id, it) }
-            is Input.CallDone -> ctx.called(input)
+            is Input.Request -> request(input.method, input.path, input.body) { context.answer(input.id, it) }
+            is Input.CallDone -> context.called(input)
             is Input.FromPeer -> fromPeer(input.message)
         }
-        ctx.runDue()
-        if (placing && ctx.now >= placedAt + roundS) place()
+        context.runDue()
+        if (placing && context.now >= placedAt + roundS) place()
         store.pump()
-        return ctx.finish()
+        return context.finish()
     }
 
     private fun tick() {
         leadership.tick()
         fleet.tickCatalog()
         versions.tick()
-        if (ctx.now >= announceAt) {
-            announceAt = ctx.now + ANNOUNCE_S
+        if (context.now >= announceAt) {
+            announceAt = context.now + ANNOUNCE_S
             leadership.announce(if (leadership.leading) workers.unheardZones() else emptyList())
         }
         if (leadership.leading && intake.loaded) {
             workers.tick()
             ledger.tick()
-            if (leadership.standing) fleet.tick()
-            if (ctx.now > placedAt + PLACE_S) placeSoon()
+            if (leadership.holdsLease) fleet.tick()
+            if (context.now > placedAt + PLACE_S) placeSoon()
         }
     }
 
@@ -80,8 +86,8 @@
 
     private fun place() {
         placing = false
-        if (!leadership.standing || !intake.loaded) return
-        placedAt = ctx.now
+        if (!leadership.holdsLease || !intake.loaded) return
+        placedAt = context.now
         placement.round()
     }
 
@@ -99,7 +105,7 @@
         when {
             path == "/ready" -> only(method, "GET", then) { then(if (ready) Answer(200, "{}") else Answer.unavailable("starting")) }
 
-            path == "/agent/beat" -> only(method, "POST", then) { beat(body, from, then) }
+            path == "/agent/beat" -> only(method, "POST", then) { heartbeat(body, from, then) }
 
             path == "/api/jobs" -> only(method, "POST", then) { intake.submit(body, passedOn, then) }
 
@@ -125,18 +131,18 @@
 
     private val ready: Boolean get() = fleet.catalog != null
 
-    private fun beat(
+    private fun heartbeat(
         body: String,
         from: String?,
         then: (Answer) -> Unit,
     ) {
         when {
             // Before it has read the rows a leader does not know what was cancelled: an answer without a halt would keep it alive.
-            leadership.answering && workers.loaded -> then(workers.beat(body, from))
+            leadership.answering && workers.loaded -> then(workers.heartbeat(body, from))
 
             leadership.leading || from != null -> then(Answer.unavailable("leadership in doubt"))
 
-            else -> relay.beat(body, leadership.knownLeader?.takeIf { it != settings.member }, then)
+            else -> relay.heartbeat(body, leadership.knownLeader?.takeIf { it != settings.member }, then)
         }
     }
 
@@ -183,7 +189,7 @@
         to: PeerMessage.Ask,
         answer: Answer,
     ) {
-        ctx.send(to.from, PeerMessage.Reply(settings.member, to.ask, answer.status, answer.body, answer.retryAfterS ?: 0))
+        context.send(to.from, PeerMessage.Reply(settings.member, to.ask, answer.status, answer.body, answer.retryAfterS ?: 0))
     }
 
     // --- leadership
@@ -208,7 +214,7 @@
                     store.list("rental/", Urgency.LEADERSHIP) { rentals ->
                         if (leadership.leading && leadership.term == term) {
                             if (live == null || progress == null || rounds == null || rentals == null) {
-                                ctx.later(RELOAD_S) { if (leadership.leading && leadership.term == term) load(term) }
+                                context.later(RELOAD_S) { if (leadership.leading && leadership.term == term) load(term) }
                             } else {
                                 live.rows.forEach { ledger.admit(it.key.substringAfter('/'), it.value, it.stamp) }
                                 progress.rows.forEach { ledger.loadProgress(it) }
@@ -235,7 +241,7 @@
             .toList()
             .forEach { workers.machine(it) }
         followAt = revision
-        ctx.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.claims.byMachine.size} machines with claims")
+        context.info("term $term: picture rebuilt, ${ledger.jobs.size} jobs, ${ledger.claims.byMachine.size} machines with claims")
         follow(term)
         placeSoon()
     }
@@ -259,7 +265,7 @@
                         relist(term)
                     }
                 }
-                ctx.later(FOLLOW_PAUSE_S) { follow(term) }
+                context.later(FOLLOW_PAUSE_S) { follow(term) }
             }
         }
     }
--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -1,5 +1,8 @@
 package burlridge.app
 
+import burlridge.core.OperatorSettings
+import burlridge.core.Settings
+import burlridge.core.SettingsError
 import org.apache.commons.cli.DefaultParser
 import org.apache.commons.cli.Option
 import org.apache.commons.cli.Options
--- a/src/main/kotlin/burlridge/app/Metrics.kt
+++ b/src/main/kotlin/burlridge/app/Metrics.kt
@@ -1,5 +1,9 @@
 package burlridge.app
 
+import burlridge.core.Answer
+import burlridge.core.Effect
+import burlridge.core.Input
+import burlridge.core.Outcome
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap
 
--- a/src/main/kotlin/burlridge/app/Rehearsal.kt
+++ b/src/main/kotlin/burlridge/app/Rehearsal.kt
@@ -1,5 +1,8 @@
 package burlridge.app
 
+import burlridge.core.Effect
+import burlridge.core.Endpoint
+import burlridge.core.Json
 import java.net.InetAddress
 import java.net.ServerSocket
 
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -1,5 +1,15 @@
 package burlridge.app
 
+import burlridge.core.Answer
+import burlridge.core.Effect
+import burlridge.core.GangTimes
+import burlridge.core.Input
+import burlridge.core.Level
+import burlridge.core.Settings
+import burlridge.net.ConnectionBudget
+import burlridge.net.EventLoop
+import burlridge.net.HttpClient
+import burlridge.net.HttpServer
 import burlridge.peer.PeerLinks
 import burlridge.peer.PeerMessage
 import kotlinx.coroutines.CoroutineExceptionHandler
--- a/src/main/kotlin/burlridge/app/WarmUp.kt
+++ b/src/main/kotlin/burlridge/app/WarmUp.kt
@@ -1,5 +1,10 @@
 package burlridge.app
 
+import burlridge.core.Effect
+import burlridge.core.Input
+import burlridge.core.Json
+import burlridge.core.Outcome
+import burlridge.core.Settings
 import com.fasterxml.jackson.databind.JsonNode
 
 /**
--- a/src/main/kotlin/burlridge/app/BoundedMap.kt
+++ b/src/main/kotlin/burlridge/core/BoundedMap.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 /** A map that keeps at most [capacity] entries: the one longest unused goes first. */
 internal class BoundedMap<K, V>(
--- a/src/main/kotlin/burlridge/app/Context.kt
+++ b/src/main/kotlin/burlridge/core/Context.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 import burlridge.peer.PeerMessage
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
@@ -20,16 +20,16 @@
     private var effects = ArrayList<Effect>()
     private val waiting = Long2ObjectOpenHashMap<(Outcome) -> Unit>()
     private var nextCall = 1L
-    private var debts = java.util.PriorityQueue<Debt>()
-    private var nextDebt = 0L
-    private val floods = Floods()
+    private var scheduled = java.util.PriorityQueue<ScheduledWork>()
+    private var nextOrder = 0L
+    private val logRateLimiter = LogRateLimiter()
 
-    private class Debt(
+    private class ScheduledWork(
         val at: Double,
         val order: Long,
         val work: () -> Unit,
-    ) : Comparable<Debt> {
-        override fun compareTo(other: Debt): Int = compareValuesBy(this, other, Debt::at, Debt::order)
+    ) : Comparable<ScheduledWork> {
+        override fun compareTo(other: ScheduledWork): Int = compareValuesBy(this, other, ScheduledWork::at, ScheduledWork::order)
     }
 
     /** How much of what has been done; the figures that grow with a deployment. */
@@ -48,7 +48,7 @@
     ) {
         this.wallMs = wallMs
         this.now = maxOf(now, this.now)
-        floods.sumUp(this.now).forEach(::info)
+        logRateLimiter.sumUp(this.now).forEach(::info)
     }
 
     fun finish(): List<Effect> = effects.also { effects = ArrayList() }
@@ -89,13 +89,13 @@
         delayS: Double,
         work: () -> Unit,
     ) {
-        debts.add(Debt(now + delayS, nextDebt++, work))
+        scheduled.add(ScheduledWork(now + delayS, nextOrder++, work))
     }
 
     fun runDue() {
         while (true) {
-            val due = debts.peek()?.takeIf { it.at <= now } ?: return
-            debts.poll()
+            val due = scheduled.peek()?.takeIf { it.at <= now } ?: return
+            scheduled.poll()
             due.work()
         }
     }
@@ -109,11 +109,11 @@
     }
 
     /** A line of which hundreds may come at once: of each [kind] the first of a second are logged, and the others summed up. */
-    fun often(
+    fun infoRateLimited(
         kind: String,
         text: String,
     ) {
-        if (floods.admits(kind, now)) info(text)
+        if (logRateLimiter.admits(kind, now)) info(text)
     }
 
     fun debug(text: String) {
--- a/src/main/kotlin/burlridge/app/Effects.kt
+++ b/src/main/kotlin/burlridge/core/Effects.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 import burlridge.peer.PeerMessage
 
--- a/src/main/kotlin/burlridge/app/JsonStream.kt
+++ b/src/main/kotlin/burlridge/core/JsonStream.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 import com.fasterxml.jackson.core.JsonFactory
 import com.fasterxml.jackson.core.JsonParser
--- a/src/main/kotlin/burlridge/app/Floods.kt
+++ b/src/main/kotlin/burlridge/core/LogRateLimiter.kt
@@ -1,9 +1,9 @@
-package burlridge.app
+package burlridge.core
 
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
 
 /** Lines alike that come in floods: a machine room that goes dark is one event, not a thousand. */
-internal class Floods {
+internal class LogRateLimiter {
     private val seen = Object2IntOpenHashMap<String>()
     private var endsAt = 0.0
 
--- a/src/main/kotlin/burlridge/app/OperatorSettings.kt
+++ b/src/main/kotlin/burlridge/core/OperatorSettings.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 import org.ini4j.Ini
 import java.io.StringReader
@@ -12,7 +12,7 @@
     val sample: Int = 5,
     /** Report intervals that a machine stays idle before it is returned. */
     val idleReports: Double = 20.0,
-    /** Room kept free for lanes with a wait aim, in jobs of the usual size. */
+    /** Room kept free for job classes with a wait aim, in jobs of the usual size. */
     val headroom: Double = 1.5,
     /** Room kept free for gangs that are likely to come, in standard deviations above their mean. */
     val gangDeviations: Double = 2.0,
--- a/src/main/kotlin/burlridge/app/Settings.kt
+++ b/src/main/kotlin/burlridge/core/Settings.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.core
 
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
@@ -40,7 +40,7 @@
 
 internal data class Objective(
     val kind: String,
-    val lane: String?,
+    val jobClass: String?,
     val withinS: Double?,
     val share: Double?,
 )
@@ -68,7 +68,7 @@
     val rps: Double,
     val writeRps: Double,
     val valueBytes: Int,
-    val txnOps: Int,
+    val changesPerTransaction: Int,
 )
 
 internal data class CloudLimits(
--- a/src/main/kotlin/burlridge/fleet/CatalogKeeper.kt
+++ b/src/main/kotlin/burlridge/fleet/CatalogKeeper.kt
@@ -1,21 +1,22 @@
 package burlridge.fleet
 
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Outcome
+import burlridge.intake.Found
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
-import burlridge.store.Op
+import burlridge.store.Change
 import burlridge.store.Read
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
 
 /** Asks the cloud for its machine types, and keeps a copy in the state service for a start during an outage of the cloud. */
 internal class CatalogKeeper(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
     private val ledger: Ledger,
@@ -32,10 +33,10 @@
 
     /** Every member needs the machine types to judge a submission. */
     fun tick() {
-        if (busy || ctx.now < askedAt + if (catalog == null) 1.0 else CATALOG_S) return
+        if (busy || context.now < askedAt + if (catalog == null) 1.0 else CATALOG_S) return
         busy = true
-        askedAt = ctx.now
-        ctx.call(ctx.settings.cloud, "GET", "/catalog", null, CLOUD_TIMEOUT_S) { outcome ->
+        askedAt = context.now
+        context.call(context.settings.cloud, "GET", "/catalog", null, CLOUD_TIMEOUT_S) { outcome ->
             busy = false
             val body = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body) }
             val parsed = Catalog.parse(body)
@@ -62,8 +63,8 @@
     private fun keepCatalog(body: JsonNode) {
         if (!leadership.leading || kept) return
         kept = true
-        store.txn(Txn(listOf(ledger.fence()), listOf(Op.Put("catalog", body))), Urgency.CLEANUP) {
-            if (it !is TxnResult.Done) {
+        store.txn(Transaction(listOf(ledger.fence()), listOf(Change.Put("catalog", body))), Urgency.CLEANUP) {
+            if (it !is TransactionResult.Done) {
                 kept =
                     false
             }
--- a/src/main/kotlin/burlridge/fleet/Demand.kt
+++ b/src/main/kotlin/burlridge/fleet/Demand.kt
@@ -1,6 +1,6 @@
 package burlridge.fleet
 
-import burlridge.app.Context
+import burlridge.core.Context
 import burlridge.intake.JobSpec
 import burlridge.intake.Priority
 import burlridge.intent.Job
@@ -8,10 +8,10 @@
 
 /** How many tasks want room now, and how many more should find room at once. */
 internal class Demand(
-    private val ctx: Context,
+    private val context: Context,
     private val ledger: Ledger,
 ) {
-    private val waits = ctx.settings.objectives.filter { it.kind == "wait" && it.lane != null && it.withinS != null }
+    private val waits = context.settings.objectives.filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
     private val recent = HashMap<String, ArrayDeque<Job>>()
     private val seen = HashSet<String>()
 
@@ -19,8 +19,8 @@
      * Where no team is guaranteed anything, nobody counts what a team uses, and no aim speaks of money: whatever can be had is
      * kept. Guarantees are bought, so where there are some, machines are rented for work that is there or surely comes.
      */
-    val lavish: Boolean =
-        ctx.settings.teams.values
+    val keepsAllMachines: Boolean =
+        context.settings.teams.values
             .none { it.cpus > 0 || it.gpus > 0 }
 
     /** Tasks of one kind that want room, how long they may still wait for it, and how many like them have some already. */
@@ -41,8 +41,8 @@
     fun wanted(types: Catalog): List<Need> {
         val now = ledger.jobs.values.filter { it.ending == null }
         val held = HashMap<String, Int>()
-        now.forEach { held.merge(it.spec.lane, it.claims.size, Int::plus) }
-        val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, slackS(it), held[it.spec.lane] ?: 0) }
+        now.forEach { held.merge(it.spec.jobClass, it.claims.size, Int::plus) }
+        val waiting = now.filter { it.waiting > 0 }.map { Need(it.spec, it.waiting, slackS(it), held[it.spec.jobClass] ?: 0) }
         // In the order in which placement gives room away: what is kept for gangs is no room for arrays.
         val (gangs, arrays) = waiting.sortedBy { it.spec.priority }.partition { it.spec.gang }
         return gangs + expectedGangs(types) + arrays + headroom()
@@ -50,33 +50,33 @@
 
     /**
      * Room for the gangs that come while a machine boots, or where machines are kept anyway while others fall free; and two
-     * machines for each lane that is to start at once and of which nothing has come yet.
+     * machines for each job class that is to start at once and of which nothing has come yet.
      */
     fun expectedGangs(types: Catalog): List<Need> {
-        if (ctx.settings.workers.gang == null) return emptyList()
+        if (context.settings.workers.gang == null) return emptyList()
         val cheapest = types.types.values.minByOrNull { it.price } ?: return emptyList()
         val held = HashMap<String, Int>()
-        ledger.jobs.values.forEach { if (it.spec.gang && it.ending == null) held.merge(it.spec.lane, it.claims.size, Int::plus) }
-        return waits.distinctBy { it.lane }.mapNotNull { aim ->
-            val list = recent[aim.lane]
+        ledger.jobs.values.forEach { if (it.spec.gang && it.ending == null) held.merge(it.spec.jobClass, it.claims.size, Int::plus) }
+        return waits.distinctBy { it.jobClass }.mapNotNull { aim ->
+            val list = recent[aim.jobClass]
             val tightS = aim.withinS ?: Double.MAX_VALUE
             when {
-                list == null -> unseen(aim.lane.orEmpty(), cheapest).takeIf { tightS < cheapest.bootS }
+                list == null -> unseen(aim.jobClass.orEmpty(), cheapest).takeIf { tightS < cheapest.bootS }
                 !list.last().spec.gang || driedUp(list) -> null
-                else -> Need(list.last().spec, gangTasks(list, held[aim.lane] ?: 0, cheapest.bootS), Double.MAX_VALUE, 0)
+                else -> Need(list.last().spec, gangTasks(list, held[aim.jobClass] ?: 0, cheapest.bootS), Double.MAX_VALUE, 0)
             }
         }
     }
 
     private fun unseen(
-        lane: String,
+        jobClass: String,
         type: MachineType,
     ): Need {
         val spec =
             JobSpec(
                 "j-0",
-                lane,
-                ctx.settings.teams.keys
+                jobClass,
+                context.settings.teams.keys
                     .first(),
                 Priority.LOW,
                 BET_MACHINES,
@@ -96,17 +96,17 @@
         return Need(spec, BET_MACHINES, Double.MAX_VALUE, 0)
     }
 
-    /** So many tasks of a gang lane are likely to come, beyond the room that those who run will leave, before more can be had. */
+    /** So many tasks of a job class of gangs are likely to come, beyond the room that those who run will leave, before more can be had. */
     private fun gangTasks(
         list: List<Job>,
         held: Int,
         bootS: Double,
     ): Int {
-        val soonS = if (lavish) ctx.settings.workers.reportS * SOON_REPORTS else bootS * LONG_BOOT
-        val overS = maxOf((ctx.wallMs - list.minOf { it.submittedMs }) / MS_A_S.toDouble(), soonS / 2)
+        val soonS = if (keepsAllMachines) context.settings.workers.reportS * SOON_REPORTS else bootS * LONG_BOOT
+        val overS = maxOf((context.wallMs - list.minOf { it.submittedMs }) / MS_A_S.toDouble(), soonS / 2)
         val jobs = list.size / overS * soonS
         val tasks = list.map { it.spec.tasks }.average()
-        val leaving =
+        val draining =
             held *
                 minOf(
                     1.0,
@@ -116,12 +116,12 @@
                             .spec.estimateS
                             .coerceAtLeast(1.0),
                 ) / 2
-        val likely = tasks * (jobs + Math.sqrt(jobs) * ctx.settings.operator.gangDeviations) - leaving
+        val likely = tasks * (jobs + Math.sqrt(jobs) * context.settings.operator.gangDeviations) - draining
         return Math.ceil(maxOf(likely, list.maxOf { it.spec.tasks }.toDouble())).toInt()
     }
 
     private fun remember(job: Job) {
-        val list = recent.getOrPut(job.spec.lane) { ArrayDeque() }
+        val list = recent.getOrPut(job.spec.jobClass) { ArrayDeque() }
         list.addLast(job)
         if (list.size > REMEMBERED) list.removeFirst()
     }
@@ -135,22 +135,22 @@
                 ?.name
         }
 
-    /** How long the tasks of [job] may still wait by what the aims say of its lane; where they say nothing, not at all. */
+    /** How long the tasks of [job] may still wait by what the aims say of its job class; where they say nothing, not at all. */
     private fun slackS(job: Job): Double {
         val spec = job.spec
-        val aims = ctx.settings.objectives.filter { it.lane == spec.lane }
+        val aims = context.settings.objectives.filter { it.jobClass == spec.jobClass }
         val startBy = aims.filter { it.kind == "wait" }.mapNotNull { it.withinS }
         val doneBy = aims.filter { it.kind == "finished" }.mapNotNull { it.withinS } + listOfNotNull(spec.deadlineS)
         val latest = (startBy + doneBy.map { it - spec.estimateS * LONG_RUN }).minOrNull() ?: 0.0
-        return latest - (ctx.wallMs - job.submittedMs) / 1000.0
+        return latest - (context.wallMs - job.submittedMs) / 1000.0
     }
 
-    /** For lanes with a wait aim, room for a job of the usual size, as long as jobs of it come. */
+    /** For job classes with a wait aim, room for a job of the usual size, as long as jobs of it come. */
     private fun headroom(): List<Need> =
         waits.mapNotNull { aim ->
-            val list = recent[aim.lane]?.takeIf { !it.last().spec.gang && !driedUp(it) } ?: return@mapNotNull null
+            val list = recent[aim.jobClass]?.takeIf { !it.last().spec.gang && !driedUp(it) } ?: return@mapNotNull null
             val usual = list.map { it.spec.tasks }.average()
-            Need(list.last().spec, Math.ceil(usual * ctx.settings.operator.headroom).toInt(), Double.MAX_VALUE, 0)
+            Need(list.last().spec, Math.ceil(usual * context.settings.operator.headroom).toInt(), Double.MAX_VALUE, 0)
         }
 
     /** Whether nothing has come for many times as long as usual: then what is kept free would be paid for nobody. */
@@ -158,7 +158,7 @@
         if (list.size < REMEMBERED) return false
         val submitted = list.map { it.submittedMs }
         val gapMs = (submitted.max() - submitted.min()).toDouble() / (list.size - 1)
-        return ctx.wallMs - submitted.max() > maxOf(gapMs * DRY_GAPS, ctx.settings.workers.leaseS * MS_A_S)
+        return context.wallMs - submitted.max() > maxOf(gapMs * DRY_GAPS, context.settings.workers.leaseS * MS_A_S)
     }
 
     private companion object {
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -1,41 +1,34 @@
 package burlridge.fleet
 
-import burlridge.app.Context
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Outcome
 import burlridge.intake.JobSpec
-import burlridge.intake.Size
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
-import burlridge.store.Condition
-import burlridge.store.Op
-import burlridge.store.Read
 import burlridge.store.Row
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
-import burlridge.store.Urgency
 import burlridge.worker.Machine
 import burlridge.worker.Workers
 
 /** Machine types, rentals, boots and returns. */
 internal class Fleet(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val workers: Workers,
 ) {
-    private val types = CatalogKeeper(ctx, store, leadership, ledger)
+    private val types = CatalogKeeper(context, store, leadership, ledger)
     val catalog: Catalog? get() = types.catalog
     private var listBusy = false
     private var listAt = -1e9
     private var everListed = false
     private var pages = 1
-    private val rentals = Rentals(ctx, store, leadership, workers)
-    private val returns = Returns(ctx, leadership, ledger, workers, rentals)
-    private val lag = ctx.settings.cloudLimits.listLagS
+    private val rentals = Rentals(context, store, leadership, workers)
+    private val returns = Returns(context, leadership, ledger, workers, rentals)
+    private val lag = context.settings.cloudLimits.listLagS
     private var planAt = 0.0
-    private val demand = Demand(ctx, ledger)
+    private val demand = Demand(context, ledger)
 
     init {
         workers.cacheOf = { type -> catalog?.types?.get(type)?.cacheGb ?: 0.0 }
@@ -43,7 +36,7 @@
 
     fun tickCatalog() = types.tick()
 
-    val returnsIdle: Boolean get() = !demand.lavish
+    val returnsIdle: Boolean get() = !demand.keepsAllMachines
 
     /** Room that is to be kept for gangs that surely come soon. */
     fun expectedGangs(): List<Demand.Need> = catalog?.let { demand.expectedGangs(it) }.orEmpty()
@@ -63,14 +56,14 @@
 
     fun tick() {
         // A long list takes a good part of a small controller's time, and what it shows is never fresher than its lag.
-        if (!listBusy && ctx.now >= listAt + lag * maxOf(1.0, pages * LAGS_A_PAGE)) {
+        if (!listBusy && context.now >= listAt + lag * maxOf(1.0, pages * LAGS_A_PAGE)) {
             listBusy = true
-            listAt = ctx.now
+            listAt = context.now
             list("", ArrayList(), leadership.term)
         }
         rentals.settle()
-        if (everListed && ctx.now >= planAt) {
-            planAt = ctx.now + PLAN_S
+        if (everListed && context.now >= planAt) {
+            planAt = context.now + PLAN_S
             plan()
         }
     }
@@ -81,7 +74,7 @@
         term: Long,
     ) {
         val after = if (from.isEmpty()) "" else "from=$from&"
-        ctx.call(ctx.settings.cloud, "GET", "/rentals?${after}limit=$PAGE", null, CLOUD_TIMEOUT_S) { outcome ->
+        context.call(context.settings.cloud, "GET", "/rentals?${after}limit=$PAGE", null, CLOUD_TIMEOUT_S) { outcome ->
             val page = (outcome as? Outcome.Answered)?.takeIf { it.status == 200 }?.let { MachinePage.decode(it.body) }
             if (page == null || !mine(term)) {
                 listBusy = false
@@ -118,10 +111,10 @@
         machine.spot = listed.spot ?: machine.spot
         machine.listed = true
         machine.listedAgeS = maxOf(machine.listedAgeS, listed.ageS)
-        if (machine.rentedAt == 0.0) machine.rentedAt = ctx.now - machine.listedAgeS
+        if (machine.rentedAt == 0.0) machine.rentedAt = context.now - machine.listedAgeS
         machine.starting = listed.state == "starting" && !machine.up
         if (listed.state == "failed" && !machine.dead) {
-            ctx.info("machine ${machine.id} has failed; returning it")
+            context.info("machine ${machine.id} has failed; returning it")
             machine.dead = true
         }
         if (machine.address == null) machine.address = listed.address
@@ -149,7 +142,7 @@
         val types = catalog ?: return
         demand.observe()
         returns.discard(types)
-        if (demand.lavish) rentEverything(types) else rentNeeded(types)
+        if (demand.keepsAllMachines) rentEverything(types) else rentNeeded(types)
     }
 
     private fun rentEverything(types: Catalog) {
@@ -181,17 +174,17 @@
                 val offer =
                     Prices
                         .cheapest(types, spec, scarce, { rentals.refused(it) }) {
-                            !presses(need, left, behind[spec.lane] ?: 0, given[spec.lane] ?: 0)
+                            !presses(need, left, behind[spec.jobClass] ?: 0, given[spec.jobClass] ?: 0)
                         }?.takeIf { (wanted[it] ?: 0) < MOST_PER_CALL * (Rentals.MOST_STEPS - rentals.stepsOf(it)) && rentals.isOpen(it) }
                         ?: break
                 val whole = types.types.getValue(offer.type).size
                 wanted.merge(offer, 1, Int::plus)
-                val slot = Slot(offer.type, offer.zone, offer.spot, whole)
+                val slot = FreeCapacity(offer.type, offer.zone, offer.spot, whole)
                 left -= slot.take(spec.size, left).coerceAtLeast(1)
                 slots += slot
             }
-            behind.merge(spec.lane, left, Int::plus)
-            given.merge(spec.lane, need.tasks - left, Int::plus)
+            behind.merge(spec.jobClass, left, Int::plus)
+            given.merge(spec.jobClass, need.tasks - left, Int::plus)
         }
         wanted.forEach { (offer, count) ->
             for (rented in 0 until count step MOST_PER_CALL) rentals.rent(offer, count - rented, "waiting and expected tasks have no room")
@@ -202,7 +195,7 @@
     /** A gang that must be in one zone finds its room, and what is rented for it, in the zone that has most of it already. */
     private fun together(
         need: Demand.Need,
-        slots: List<Slot>,
+        slots: List<FreeCapacity>,
         types: Catalog,
     ): JobSpec {
         val spec = need.spec
@@ -213,7 +206,7 @@
         return spec.copy(zone = zones.maxBy { minOf(need.tasks, seats.getValue(it)) })
     }
 
-    /** Whether [left] tasks would wait too long, [behind] others of their lane, for the room that others of it have or were [given]. */
+    /** Whether [left] tasks would wait too long, [behind] others of their job class, for the room that others of it have or were [given]. */
     private fun presses(
         need: Demand.Need,
         left: Int,
@@ -226,17 +219,17 @@
     }
 
     /** What is free, now or soon, of every machine that will take tasks; the fullest first. */
-    private fun coming(types: Catalog): MutableList<Slot> {
-        val slots = ArrayList<Slot>()
+    private fun coming(types: Catalog): MutableList<FreeCapacity> {
+        val slots = ArrayList<FreeCapacity>()
         for (m in workers.machines.values) {
-            if (m.leaving || m.recallAt != null || (m.up && (m.lapsed || !m.hears || workers.silent(m)))) continue
+            if (m.draining || m.recallAt != null || (m.up && (m.lapsed || !m.hears || workers.silent(m)))) continue
             val whole = types.types[m.type]?.size ?: continue
             val free = whole - ledger.claims.usedOn(m.id)
-            if (free.cpus > 0) slots += Slot(m.type, m.zone, m.spot, free)
+            if (free.cpus > 0) slots += FreeCapacity(m.type, m.zone, m.spot, free)
         }
         for (r in rentals.open) {
             val type = types.types[r.offer.type] ?: continue
-            repeat(r.expected) { slots += Slot(type.name, r.offer.zone, r.offer.spot, type.size) }
+            repeat(r.expected) { slots += FreeCapacity(type.name, r.offer.zone, r.offer.spot, type.size) }
         }
         slots.sortWith(compareBy({ it.free.cpus }, { it.free.memoryGb }))
         return slots
--- a/src/main/kotlin/burlridge/fleet/Slot.kt
+++ b/src/main/kotlin/burlridge/fleet/FreeCapacity.kt
@@ -4,7 +4,7 @@
 import burlridge.intake.Size
 
 /** What is free, now or soon, of one machine. */
-internal class Slot(
+internal class FreeCapacity(
     val type: String,
     val zone: String,
     val spot: Boolean,
--- a/src/main/kotlin/burlridge/fleet/MachineList.kt
+++ b/src/main/kotlin/burlridge/fleet/MachineList.kt
@@ -1,12 +1,12 @@
 package burlridge.fleet
 
-import burlridge.app.Endpoint
-import burlridge.app.JsonStream
-import burlridge.app.eachField
-import burlridge.app.eachObject
-import burlridge.app.flagOrNull
-import burlridge.app.numberOrNull
-import burlridge.app.textOrNull
+import burlridge.core.Endpoint
+import burlridge.core.JsonStream
+import burlridge.core.eachField
+import burlridge.core.eachObject
+import burlridge.core.flagOrNull
+import burlridge.core.numberOrNull
+import burlridge.core.textOrNull
 import com.fasterxml.jackson.core.JsonParser
 import com.fasterxml.jackson.core.JsonToken
 
--- a/src/main/kotlin/burlridge/fleet/Rentals.kt
+++ b/src/main/kotlin/burlridge/fleet/Rentals.kt
@@ -1,15 +1,15 @@
 package burlridge.fleet
 
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Outcome
 import burlridge.leadership.Leadership
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Row
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 import burlridge.worker.Workers
 
@@ -35,7 +35,7 @@
 
 /** Rentals, each claimed in a row before the cloud is called; what has an unknown outcome waits for the cloud's list. */
 internal class Rentals(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
     private val workers: Workers,
@@ -55,7 +55,7 @@
         nextStep = 0
     }
 
-    fun refused(offer: Offer): Boolean = ctx.now < (refusedUntil[offer] ?: 0.0)
+    fun refused(offer: Offer): Boolean = context.now < (refusedUntil[offer] ?: 0.0)
 
     /** What has been returned can be had again. */
     fun returned(offer: Offer) {
@@ -73,27 +73,27 @@
             )
         rental.stamp = row.stamp
         // Called or not, by a leader that is gone: unknown, until the list must show what came of it.
-        rental.calledAt = ctx.now
+        rental.calledAt = context.now
         rentals[rental.step] = rental
     }
 
     fun settle() {
         for (rental in rentals.values.toList()) {
             if (rental.settledAt == null && rental.calledAt > 0 &&
-                ctx.now > rental.calledAt + Fleet.CLOUD_TIMEOUT_S + ctx.settings.cloudLimits.listLagS * Fleet.OLDEST_LIST
+                context.now > rental.calledAt + Fleet.CLOUD_TIMEOUT_S + context.settings.cloudLimits.listLagS * Fleet.OLDEST_LIST
             ) {
-                ctx.info("rental ${rental.step}: outcome unknown, and the cloud's list has caught up")
-                rental.settledAt = ctx.now
+                context.info("rental ${rental.step}: outcome unknown, and the cloud's list has caught up")
+                rental.settledAt = context.now
             }
             val settled = rental.settledAt ?: continue
-            if (rental.stamp > 0 && ctx.now >= settled) forget(rental)
+            if (rental.stamp > 0 && context.now >= settled) forget(rental)
         }
     }
 
     private fun forget(rental: Rental) {
         rental.stamp = 0
         store.ensure(
-            Txn(listOf(leadership.condition()), listOf(Op.Delete("rental/${rental.step}"))),
+            Transaction(listOf(leadership.condition()), listOf(Change.Delete("rental/${rental.step}"))),
             Urgency.CLEANUP,
             leadership.stillMine(leadership.term),
         ) {
@@ -108,7 +108,7 @@
     ) {
         val rental = Rental("${leadership.term}-${nextStep++}", offer, count.coerceAtMost(Fleet.MOST_PER_CALL))
         rentals[rental.step] = rental
-        ctx.info("rental ${rental.step}: ${rental.count} of ${offer.type} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $reason")
+        context.info("rental ${rental.step}: ${rental.count} of ${offer.type} in ${offer.zone}${if (offer.spot) ", spot" else ""}: $reason")
         val row =
             Json.obj {
                 put("st", "claimed")
@@ -119,20 +119,24 @@
                 put("tok", leadership.term)
             }
         val mine = leadership.stillMine(leadership.term)
-        val txn = Txn(listOf(leadership.condition(), Condition("rental/${rental.step}", 0)), listOf(Op.Put("rental/${rental.step}", row)))
+        val txn =
+            Transaction(
+                listOf(leadership.condition(), Condition("rental/${rental.step}", 0)),
+                listOf(Change.Put("rental/${rental.step}", row)),
+            )
         store.ensure(txn, Urgency.CLAIM, mine) { result ->
             when {
-                result is TxnResult.Done -> {
+                result is TransactionResult.Done -> {
                     rental.stamp = result.revision
                     order(rental, mine)
                 }
 
-                result is TxnResult.Conflict && Leadership.TERM in result.failed -> {
+                result is TransactionResult.Conflict && Leadership.TERM in result.failed -> {
                     leadership.stepDown("its term has been passed")
                 }
 
                 // An earlier copy of this very claim was applied.
-                result is TxnResult.Conflict -> {
+                result is TransactionResult.Conflict -> {
                     rental.stamp = 1
                     order(rental, mine)
                 }
@@ -148,7 +152,7 @@
         rental: Rental,
         mine: () -> Boolean,
     ) {
-        rental.calledAt = ctx.now
+        rental.calledAt = context.now
         val offer = rental.offer
         val body =
             Json.obj {
@@ -158,13 +162,13 @@
                 put("loaners", offer.spot)
                 put("number", rental.count)
             }
-        ctx.call(ctx.settings.cloud, "POST", "/rentals", Json.write(body), Fleet.CLOUD_TIMEOUT_S) { outcome ->
+        context.call(context.settings.cloud, "POST", "/rentals", Json.write(body), Fleet.CLOUD_TIMEOUT_S) { outcome ->
             if (!mine()) return@call
             val answer = outcome as? Outcome.Answered
             val names = answer?.takeIf { it.status == 200 }?.let { Json.parseOrNull(it.body)?.get("drovers") }?.takeIf { it.isArray }
             when {
                 names != null -> {
-                    ctx.info("rental ${rental.step}: got ${names.size()} of ${rental.count}")
+                    context.info("rental ${rental.step}: got ${names.size()} of ${rental.count}")
                     names.forEach { name ->
                         val machine = workers.machine(name.asText())
                         if (!machine.up && !machine.listed) {
@@ -172,24 +176,24 @@
                             machine.zone = offer.zone
                             machine.spot = offer.spot
                             machine.starting = true
-                            machine.rentedAt = ctx.now
+                            machine.rentedAt = context.now
                         }
                     }
                     refusals.remove(offer)
                     if (names.size() < rental.count) refuse(offer)
-                    rental.settledAt = ctx.now
+                    rental.settledAt = context.now
                     rental.expected = 0
                 }
 
                 outcome is Outcome.NotSent || answer?.status in REFUSALS -> {
-                    ctx.info("rental ${rental.step}: refused: ${answer?.status ?: "no connection"} ${answer?.body.orEmpty()}")
+                    context.info("rental ${rental.step}: refused: ${answer?.status ?: "no connection"} ${answer?.body.orEmpty()}")
                     refuse(offer)
-                    rental.settledAt = ctx.now
+                    rental.settledAt = context.now
                     rental.expected = 0
                 }
 
                 else -> {
-                    ctx.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
+                    context.info("rental ${rental.step}: outcome unknown, waiting for the cloud's list")
                 }
             }
         }
@@ -199,7 +203,7 @@
         // Several steps asked at once are refused for one and the same reason.
         if (refused(offer)) return
         val times = refusals.merge(offer, 1, Int::plus) ?: 1
-        refusedUntil[offer] = ctx.now + minOf(REFUSED_S * times, REFUSED_S * 4)
+        refusedUntil[offer] = context.now + minOf(REFUSED_S * times, REFUSED_S * 4)
     }
 
     /** A few steps of one kind may be on their way at once, so that a large need is met within a few calls. */
--- a/src/main/kotlin/burlridge/fleet/Returns.kt
+++ b/src/main/kotlin/burlridge/fleet/Returns.kt
@@ -1,8 +1,8 @@
 package burlridge.fleet
 
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Outcome
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
 import burlridge.worker.Machine
@@ -10,13 +10,13 @@
 
 /** Machines that go back to the cloud: the failed, the overdue, the silent, the deaf and the idle. */
 internal class Returns(
-    private val ctx: Context,
+    private val context: Context,
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val workers: Workers,
     private val rentals: Rentals,
 ) {
-    private val idleS = ctx.settings.workers.reportS * ctx.settings.operator.idleReports
+    private val idleS = context.settings.workers.reportS * context.settings.operator.idleReports
 
     /** Machines that failed, or whose boot has taken far too long, go back. */
     fun discard(types: Catalog) {
@@ -24,30 +24,32 @@
         for (machine in workers.machines.values) {
             val boot = types.types[machine.type]?.bootS ?: continue
             // To a new leader every machine is silent at first: only one that the cloud still calls starting is overdue.
-            val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && ctx.now > machine.rentedAt + boot * OVERDUE_BOOTS
+            val overdue = machine.starting && !machine.up && machine.rentedAt > 0 && context.now > machine.rentedAt + boot * OVERDUE_BOOTS
             if (machine.zone in heard && buried(machine)) {
-                ctx.often(
+                context.infoRateLimited(
                     "silent machines returned",
-                    "machine ${machine.id} is silent for ${(ctx.now - machine.silentSince).toInt()} s and cannot be reached; returning it to be certain",
+                    "machine ${machine.id} is silent for ${(context.now - machine.silentSince).toInt()} s and cannot be reached; returning it to be certain",
                 )
                 machine.dead = true
             }
             val deafSince = machine.deafSince
-            if (machine.zone in heard && !machine.dead && deafSince != null && ctx.now > deafSince + ctx.settings.workers.leaseS / 2) {
-                ctx.often(
+            if (machine.zone in heard && !machine.dead && deafSince != null &&
+                context.now > deafSince + context.settings.workers.leaseS / 2
+            ) {
+                context.infoRateLimited(
                     "deaf machines returned",
-                    "machine ${machine.id} reports but has heard nothing for ${(ctx.now - deafSince).toInt()} s; returning it",
+                    "machine ${machine.id} reports but has heard nothing for ${(context.now - deafSince).toInt()} s; returning it",
                 )
                 machine.dead = true
             }
-            if (overdue && !machine.leaving) {
-                ctx.info("machine ${machine.id} has not come up in ${(ctx.now - machine.rentedAt).toInt()} s; returning it")
-                machine.leaving = true
+            if (overdue && !machine.draining) {
+                context.info("machine ${machine.id} has not come up in ${(context.now - machine.rentedAt).toInt()} s; returning it")
+                machine.draining = true
             }
         }
         // Hundreds may be due at once, and each second counts for the tasks on them.
         workers.machines.values
-            .filter { !it.returning && (it.dead || (it.leaving && ledger.claims.byMachine[it.id].isNullOrEmpty())) }
+            .filter { !it.returning && (it.dead || (it.draining && ledger.claims.byMachine[it.id].isNullOrEmpty())) }
             .chunked(MOST_PER_RETURN)
             .take(MOST_RETURNS)
             .forEach { giveBack(it) }
@@ -60,7 +62,7 @@
     private fun buried(machine: Machine): Boolean {
         val wanted = machine.up || !ledger.claims.byMachine[machine.id].isNullOrEmpty()
         if (!wanted || machine.dead || machine.lapsed || machine.starting || machine.refusals < TRIES_TO_BURY) return false
-        return workers.hears(machine.zone) && ctx.now > machine.silentSince + ctx.settings.workers.reportS * DEAD_REPORTS
+        return workers.hears(machine.zone) && context.now > machine.silentSince + context.settings.workers.reportS * DEAD_REPORTS
     }
 
     /** The zones most of whose machines are heard from, so that the silence of one is its own. */
@@ -69,7 +71,7 @@
         return up
             .groupBy { it.zone }
             .filterValues { there ->
-                there.count { it.hears && ctx.now < it.lastReportAt + ctx.settings.workers.reportS * 2 } >= there.size * MOST_HEARD
+                there.count { it.hears && context.now < it.lastReportAt + context.settings.workers.reportS * 2 } >= there.size * MOST_HEARD
             }.keys
     }
 
@@ -77,12 +79,12 @@
         if (list.isEmpty()) return
         list.forEach {
             it.returning = true
-            it.leaving = true
+            it.draining = true
         }
         val body = Json.obj { putArray("drovers").also { names -> list.forEach { m -> names.add(m.id) } } }
         val mine = leadership.stillMine(leadership.term)
-        ctx.info("returning ${list.joinToString { it.id }}")
-        ctx.call(ctx.settings.cloud, "POST", "/rentals/return", Json.write(body), Fleet.CLOUD_TIMEOUT_S * 2) { outcome ->
+        context.info("returning ${list.joinToString { it.id }}")
+        context.call(context.settings.cloud, "POST", "/rentals/return", Json.write(body), Fleet.CLOUD_TIMEOUT_S * 2) { outcome ->
             if (!mine()) return@call
             if ((outcome as? Outcome.Answered)?.status == 200) {
                 list.forEach {
@@ -90,7 +92,7 @@
                     rentals.returned(Offer(it.type, it.zone, it.spot))
                 }
             } else {
-                list.forEach { m -> ctx.later(RETRY_S) { m.returning = false } }
+                list.forEach { m -> context.later(RETRY_S) { m.returning = false } }
             }
         }
     }
@@ -102,15 +104,15 @@
     private fun patienceS(up: Int): Double = idleS * minOf(1.0, SMOOTH_MACHINES / Math.sqrt(up.coerceAtLeast(1).toDouble()))
 
     fun returnIdle(
-        after: List<Slot>,
+        after: List<FreeCapacity>,
         types: Catalog,
     ) {
-        val up = workers.machines.values.filter { it.up && !it.leaving }
+        val up = workers.machines.values.filter { it.up && !it.draining }
         val patience = patienceS(up.size)
         val idle =
             up.filter { m ->
                 val dear = if (m.spot) 1.0 else Prices.DEAR_FACTOR
-                m.idleSince > 0 && ctx.now > m.idleSince + patience / dear && ledger.claims.byMachine[m.id].isNullOrEmpty()
+                m.idleSince > 0 && context.now > m.idleSince + patience / dear && ledger.claims.byMachine[m.id].isNullOrEmpty()
             }
         if (idle.isEmpty()) return
         // Only machines that the expected tasks leave wholly free are spare.
--- a/src/main/kotlin/burlridge/intake/Intake.kt
+++ b/src/main/kotlin/burlridge/intake/Intake.kt
@@ -1,10 +1,9 @@
 package burlridge.intake
 
-import burlridge.app.Answer
-import burlridge.app.BoundedMap
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Team
+import burlridge.core.Answer
+import burlridge.core.BoundedMap
+import burlridge.core.Context
+import burlridge.core.Json
 import burlridge.fleet.Fleet
 import burlridge.intent.Job
 import burlridge.intent.Ledger
@@ -12,18 +11,18 @@
 import burlridge.leadership.Leadership
 import burlridge.leadership.Versions
 import burlridge.peer.Peers
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Read
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
 
 /** What users ask: submit, query, abort. Nothing is held back; what cannot be done now is refused at once. */
 internal class Intake(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
     private val ledger: Ledger,
@@ -36,8 +35,8 @@
     /** Set once a new leader has read all rows. */
     var loaded: Boolean = false
     private val rows = JobRows(store, ledger)
-    private val verdict = Verdict(ctx, store)
-    private val decides: Boolean get() = loaded && leadership.standing
+    private val verdict = JobValidation(context, store)
+    private val decides: Boolean get() = loaded && leadership.holdsLease
 
     // --- submit
 
@@ -69,7 +68,7 @@
     ) {
         val id = node.path("id").asText("")
         when {
-            ctx.settings.workers.gang == null -> {
+            context.settings.workers.gang == null -> {
                 refuseUnlessKnown(node, Answer.error(400, "this deployment serves no gangs: params.workers sets no gang times"), then)
             }
 
@@ -89,7 +88,7 @@
         }
     }
 
-    private val waitS = Math.ceil(ctx.settings.workers.reportS).toInt()
+    private val waitS = Math.ceil(context.settings.workers.reportS).toInt()
 
     private fun route(
         body: String,
@@ -155,7 +154,7 @@
         body: String?,
         then: (Answer) -> Unit,
     ) {
-        val leader = leadership.knownLeader?.takeIf { it != ctx.settings.member }
+        val leader = leadership.knownLeader?.takeIf { it != context.settings.member }
         if (leader == null || body == null) return lookUpOrCreate(spec, then)
         peers.ask(leader, "POST", "/api/jobs", body, ASK_S) { if (it == null || it.status == 503) lookUpOrCreate(spec, then) else then(it) }
     }
@@ -219,26 +218,26 @@
     ) {
         val row = verdict.liveRow(spec)
         val txn =
-            Txn(
+            Transaction(
                 listOf(Condition("live/${spec.id}", 0), Condition("over/${spec.id}", 0)),
-                listOf(Op.Put("live/${spec.id}", row)),
+                listOf(Change.Put("live/${spec.id}", row)),
             )
         store.txn(txn, Urgency.USER, PATIENCE_S) { result ->
             when (result) {
-                is TxnResult.Done -> {
+                is TransactionResult.Done -> {
                     accepted(spec, row, result.revision)
                     then(Answer(201, standing(spec.id, Standing.QUEUED)))
                 }
 
-                is TxnResult.Conflict -> {
+                is TransactionResult.Conflict -> {
                     lookUpOr(spec.id, spec.fingerprint, Answer.unavailable("try again"), then)
                 }
 
-                TxnResult.Unknown -> {
+                TransactionResult.Unknown -> {
                     then(Answer.unavailable("the state service has not answered"))
                 }
 
-                TxnResult.Refused, TxnResult.NoLease, TxnResult.TooLarge -> {
+                TransactionResult.Refused, TransactionResult.NoLease, TransactionResult.TooLarge -> {
                     then(Answer.unavailable("the state service takes no more at the moment"))
                 }
             }
@@ -268,7 +267,7 @@
         if (!JobSpec.isId(id)) return then(Answer.error(404, "no such job"))
         local(id)?.let { return then(it) }
         val leader = if (leadership.leading) peers.served() else leadership.knownLeader ?: peers.served()
-        if (passedOn || leader == null || leader == ctx.settings.member || (decides && undecided(id))) return queryRows(id, then)
+        if (passedOn || leader == null || leader == context.settings.member || (decides && undecided(id))) return queryRows(id, then)
         peers.ask(leader, "GET", "/api/jobs/$id", "", ASK_S) { answer ->
             if (answer != null && answer.status != 503) {
                 noteEnd(id, answer)
@@ -332,7 +331,7 @@
                 abortHere(id, then)
             }
 
-            passedOn || leadership.leading || leader == null || leader == ctx.settings.member -> {
+            passedOn || leadership.leading || leader == null || leader == context.settings.member -> {
                 then(Answer.unavailable("no leader at the moment"))
             }
 
@@ -387,7 +386,7 @@
                 then(told(job.spec.id, standing))
             }
         }
-        ctx.later(ABORT_S * 0.8) {
+        context.later(ABORT_S * 0.8) {
             if (!told) {
                 told = true
                 then(Answer.unavailable("the state service has not answered"))
--- a/src/main/kotlin/burlridge/intake/JobSpec.kt
+++ b/src/main/kotlin/burlridge/intake/JobSpec.kt
@@ -1,6 +1,6 @@
 package burlridge.intake
 
-import burlridge.app.Json
+import burlridge.core.Json
 import com.fasterxml.jackson.databind.JsonNode
 import com.google.common.hash.Hashing
 
@@ -51,7 +51,7 @@
 /** A job as its owner described it. */
 internal data class JobSpec(
     val id: String,
-    val lane: String,
+    val jobClass: String,
     val team: String,
     val priority: Priority,
     val tasks: Int,
@@ -82,7 +82,7 @@
     fun encode(): JsonNode =
         Json.obj {
             put("id", id)
-            put("lane", lane)
+            put("lane", jobClass)
             put("crew", team)
             put("shape", if (gang) GANG else ARRAY)
             put("urgency", priority.wire)
@@ -126,7 +126,7 @@
             val size = Size(body.amount("vcpus"), body.amount("gpus"), body.amount("ramGb"))
             return JobSpec(
                 id = id,
-                lane = body.string("lane"),
+                jobClass = body.string("lane"),
                 team = body.string("crew"),
                 priority =
                     Priority.of(
--- a/src/main/kotlin/burlridge/intake/Verdict.kt
+++ b/src/main/kotlin/burlridge/intake/JobValidation.kt
@@ -1,15 +1,15 @@
 package burlridge.intake
 
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Team
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Team
 import burlridge.fleet.Catalog
 import burlridge.store.Store
 import com.fasterxml.jackson.databind.JsonNode
 
 /** Whether a job could ever run; the same for every repeat of its submission. */
-internal class Verdict(
-    private val ctx: Context,
+internal class JobValidation(
+    private val context: Context,
     private val store: Store,
 ) {
     /** The reason why [spec] can never run, or null. */
@@ -17,7 +17,7 @@
         spec: JobSpec,
         types: Catalog,
     ): String? {
-        val team = ctx.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
+        val team = context.settings.teams[spec.team] ?: return "unknown team ${spec.team}"
         if (team.cpusMax > 0 && spec.size.cpus > team.cpusMax) return "a task needs more CPUs than the limit of ${team.name}"
         if (team.gpusMax > 0 && spec.size.gpus > team.gpusMax) return "a task needs more GPUs than the limit of ${team.name}"
         if (types.allowed(spec).isEmpty()) return "a task fits no allowed machine type"
@@ -50,6 +50,6 @@
         Json.obj {
             set<JsonNode>("job", spec.encode())
             put("fp", spec.fingerprint)
-            put("at", ctx.wallMs)
+            put("at", context.wallMs)
         }
 }
--- a/src/main/kotlin/burlridge/intent/Claims.kt
+++ b/src/main/kotlin/burlridge/intent/Claims.kt
@@ -1,20 +1,21 @@
 package burlridge.intent
 
-import burlridge.app.Context
+import burlridge.core.Context
+import burlridge.intake.Found
 import burlridge.intake.Size
 import burlridge.leadership.Leadership
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Read
 import burlridge.store.Row
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 
 /** The claims of a leader, what they take of machines and limits, and the rows that they stand in. */
 internal class Claims(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
     private val jobs: Map<String, Job>,
@@ -55,9 +56,9 @@
         spare.clear()
         nextRound = 0
         claiming = 0
-        val limits = ctx.settings.store
+        val limits = context.settings.store
         mostStarts = (limits.valueBytes / BYTES_A_START).coerceAtLeast(1)
-        mostJobs = minOf(limits.txnOps * Store.CONDITIONS_AN_OP - 2, limits.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
+        mostJobs = minOf(limits.changesPerTransaction * Store.CONDITIONS_AN_OP - 2, limits.valueBytes / BYTES_A_JOB).coerceAtLeast(1)
     }
 
     /**
@@ -74,38 +75,38 @@
         rounds[round.slot] = round
         claims.forEach {
             it.round = round
-            it.claimedAt = ctx.now
+            it.claimedAt = context.now
             hold(it)
         }
         val conditions = claims.map { it.job }.distinct().mapNotNull { id -> jobs[id]?.let { Condition("live/$id", it.stamp) } }
         val key = "round/${round.slot}"
         val txn =
-            Txn(
+            Transaction(
                 listOf(leadership.condition(), Condition(key, before?.stamp ?: 0)) + conditions,
-                listOf(Op.Put(key, encode(round, leadership.term, claimedUntilMs()))),
+                listOf(Change.Put(key, encode(round, leadership.term, claimedUntilMs()))),
             )
         round.writing = true
         claiming++
-        ctx.count("intent.rows")
-        ctx.count("intent.starts", claims.size)
+        context.count("intent.rows")
+        context.count("intent.starts", claims.size)
         store.ensure(txn, Urgency.CLAIM, leadership.stillMine(leadership.term)) { result -> claimed(round, before, result, then) }
     }
 
     private fun claimed(
         round: Round,
         before: Round?,
-        result: TxnResult,
+        result: TransactionResult,
         then: (List<Claim>) -> Unit,
     ) {
         when (result) {
-            is TxnResult.Done -> {
+            is TransactionResult.Done -> {
                 round.stamp = result.revision
                 round.writing = false
                 claiming--
                 then(granted(round))
             }
 
-            is TxnResult.Conflict -> {
+            is TransactionResult.Conflict -> {
                 when {
                     Leadership.TERM in result.failed -> {
                         leadership.stepDown("its term has been passed")
@@ -124,7 +125,7 @@
             }
 
             else -> {
-                if (result is TxnResult.TooLarge) {
+                if (result is TransactionResult.TooLarge) {
                     mostStarts = (mostStarts / 2).coerceAtLeast(1)
                     mostJobs = (mostJobs / 2).coerceAtLeast(1)
                 }
@@ -174,11 +175,11 @@
             val row = (read as? Read.Found)?.value
             when {
                 row != null && row.value.path("n").asText() == round.number -> {
-                    claimed(round, before, TxnResult.Done(row.stamp), then)
+                    claimed(round, before, TransactionResult.Done(row.stamp), then)
                 }
 
                 read is Read.Failed -> {
-                    ctx.later(1.0) { if (leadership.stillMine(term)()) readRound(round, before, then) }
+                    context.later(1.0) { if (leadership.stillMine(term)()) readRound(round, before, then) }
                 }
 
                 else -> {
@@ -208,7 +209,7 @@
             job.taken.set(claim.task)
             job.note(claim)
         }
-        byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
+        byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.taskName] = claim
         used.merge(claim.charge.team, claim.charge.size, Size::plus)
         usedOn.merge(claim.machine, claim.charge.size, Size::plus)
     }
@@ -222,7 +223,7 @@
         claim.phase = Phase.ENDED
         claim.lost = lost
         if (lost) claim.round?.stale = true
-        byMachine[claim.machine]?.let { if (it[claim.piece] === claim) it.remove(claim.piece) }
+        byMachine[claim.machine]?.let { if (it[claim.taskName] === claim) it.remove(claim.taskName) }
         jobs[claim.job]?.let { job ->
             if (job.claims.get(claim.task) === claim) {
                 job.claims.remove(claim.task)
@@ -234,11 +235,11 @@
         usedOn.merge(claim.machine, claim.charge.size, Size::minus)
     }
 
-    private fun claimedUntilMs(): Long = ctx.wallMs + (ctx.settings.workers.leaseS * MS_A_S).toLong()
+    private fun claimedUntilMs(): Long = context.wallMs + (context.settings.workers.leaseS * MS_A_S).toLong()
 
     fun loadRound(row: Row) {
         val round = decode(row)
-        round.claims.forEach { it.claimedAt = ctx.now }
+        round.claims.forEach { it.claimedAt = context.now }
         round.stamp = row.stamp
         rounds[round.slot] = round
         round.claims.forEach { claim ->
@@ -273,7 +274,7 @@
                     it.taken.set(claim.task)
                 }
                 // Rows come in no order of time: where an earlier run on the same machine was read last, it stood in this one's place.
-                byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.piece] = claim
+                byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.taskName] = claim
             }
         }
         settleGangs()
@@ -309,11 +310,15 @@
     fun clean() {
         for (round in rounds.values) {
             if (round.stamp > 0 && !round.writing && round.settledAt == null && round.claims.all(::settled)) {
-                round.settledAt = ctx.now
+                round.settledAt = context.now
                 spare.addLast(round)
             }
         }
-        val unused = spare.takeWhile { ctx.now > (it.settledAt ?: ctx.now) + ctx.settings.workers.reportS }.take(ctx.settings.store.txnOps)
+        val unused =
+            spare
+                .takeWhile {
+                    context.now > (it.settledAt ?: context.now) + context.settings.workers.reportS
+                }.take(context.settings.store.changesPerTransaction)
         if (unused.isNotEmpty()) remove(unused)
         rounds.values
             .filter { it.stale && it.stamp > 0 && !it.writing && it.settledAt == null }
@@ -335,9 +340,17 @@
             it.writing = true
             spare.remove(it)
         }
-        val txn = Txn(listOf(leadership.condition()), list.map { Op.Delete("round/${it.slot}") })
+        val txn = Transaction(listOf(leadership.condition()), list.map { Change.Delete("round/${it.slot}") })
         store.ensure(txn, Urgency.CLEANUP, leadership.stillMine(leadership.term)) { result ->
-            if (result is TxnResult.Done) list.forEach { rounds.remove(it.slot) } else leadership.stepDown("its term has been passed")
+            if (result is TransactionResult.Done) {
+                list.forEach {
+                    rounds.remove(
+                        it.slot,
+                    )
+                }
+            } else {
+                leadership.stepDown("its term has been passed")
+            }
         }
     }
 
@@ -349,20 +362,23 @@
         round.stale = false
         val row = encode(round, leadership.term, claimedUntilMs(), round.claims.filter { jobs[it.job]?.spec?.gang == true || !settled(it) })
         if (!store.holds(row)) {
-            ctx.debug("row round/${round.slot} is left as it is: it was written under larger limits")
+            context.debug("row round/${round.slot} is left as it is: it was written under larger limits")
             return
         }
         round.writing = true
         val txn =
-            Txn(listOf(leadership.condition(), Condition("round/${round.slot}", round.stamp)), listOf(Op.Put("round/${round.slot}", row)))
+            Transaction(
+                listOf(leadership.condition(), Condition("round/${round.slot}", round.stamp)),
+                listOf(Change.Put("round/${round.slot}", row)),
+            )
         store.ensure(txn, Urgency.CLEANUP, leadership.stillMine(leadership.term)) { result ->
             round.writing = false
             when (result) {
-                is TxnResult.Done -> {
+                is TransactionResult.Done -> {
                     round.stamp = result.revision
                 }
 
-                is TxnResult.Conflict -> {
+                is TransactionResult.Conflict -> {
                     if (Leadership.TERM in result.failed) {
                         leadership.stepDown("its term has been passed")
                     } else {
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -1,6 +1,7 @@
 package burlridge.intent
 
 import burlridge.intake.JobSpec
+import burlridge.intake.Size
 import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
@@ -127,7 +128,7 @@
     val charge: Charge,
     var phase: Phase = Phase.CLAIMING,
 ) {
-    val piece: String get() = "$job/$task"
+    val taskName: String get() = "$job/$task"
     var round: Round? = null
     var lost: Boolean = false
 
--- a/src/main/kotlin/burlridge/intent/Ledger.kt
+++ b/src/main/kotlin/burlridge/intent/Ledger.kt
@@ -1,25 +1,26 @@
 package burlridge.intent
 
-import burlridge.app.BoundedMap
-import burlridge.app.Context
-import burlridge.app.Json
+import burlridge.core.BoundedMap
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.intake.BadJob
+import burlridge.intake.Found
 import burlridge.intake.JobSpec
-import burlridge.intake.Size
 import burlridge.leadership.Leadership
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Read
 import burlridge.store.Row
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
 import java.util.BitSet
 
 /** The leader's picture of jobs and claims, each of its changes written under the fence of its term. */
 internal class Ledger(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val leadership: Leadership,
 ) {
@@ -27,8 +28,8 @@
 
     private var flushing = 0
     private var lastCleanAt = 0.0
-    val claims: Claims = Claims(ctx, store, leadership, jobs)
-    private val progress = Progress(ctx.settings.store.valueBytes)
+    val claims: Claims = Claims(context, store, leadership, jobs)
+    private val progress = Progress(context.settings.store.valueBytes)
 
     /** Progress rows of jobs that are over, still to be removed. */
     private val leftovers = LinkedHashSet<String>()
@@ -82,10 +83,12 @@
             try {
                 JobSpec.parse(row.path("job"))
             } catch (e: burlridge.intake.BadJob) {
-                ctx.error("row live/$job cannot be read: ${e.message}")
+                context.error("row live/$job cannot be read: ${e.message}")
                 return null
             }
-        ctx.debug("job $job: ${spec.tasks} of ${spec.lane}, ${spec.size.cpus} CPUs, ${spec.estimateS} s, due in ${spec.deadlineS} s")
+        context.debug(
+            "job $job: ${spec.tasks} of ${spec.jobClass}, ${spec.size.cpus} CPUs, ${spec.estimateS} s, due in ${spec.deadlineS} s",
+        )
         return Job(spec, stamp, row.path("at").asLong()).also { jobs[job] = it }
     }
 
@@ -107,7 +110,7 @@
         task: Int,
     ) {
         if (!job.done.get(task)) {
-            if (job.done.cardinality() == job.durable.cardinality()) job.unwrittenSince = ctx.now
+            if (job.done.cardinality() == job.durable.cardinality()) job.unwrittenSince = context.now
             // The tasks of a gang complete together: if one is done, all are.
             val (first, end) = if (job.spec.gang) 0 to job.spec.tasks else task to task + 1
             job.done.set(first, end)
@@ -131,21 +134,21 @@
                 put("n", job.spec.tasks)
             }
         // Progress rows that this transaction has no room for are removed afterwards, or by a later leader that finds them.
-        val removed = job.progress.keys.take((ctx.settings.store.txnOps - 2).coerceAtLeast(0))
+        val removed = job.progress.keys.take((context.settings.store.changesPerTransaction - 2).coerceAtLeast(0))
         val txn =
-            Txn(
+            Transaction(
                 listOf(fence(), Condition("live/$id", job.stamp), Condition("over/$id", 0)),
-                listOf(Op.Delete("live/$id"), Op.Put("over/$id", row)) + removed.map { Op.Delete(it) },
+                listOf(Change.Delete("live/$id"), Change.Put("over/$id", row)) + removed.map { Change.Delete(it) },
             )
         val urgency = if (standing == Standing.DONE) Urgency.FINISH else Urgency.USER
         store.ensure(txn, urgency, stillMine(leadership.term), { job.inDoubt = it }) { result ->
             when (result) {
-                is TxnResult.Done -> {
+                is TransactionResult.Done -> {
                     job.progress -= removed
                     ended(job, standing)
                 }
 
-                is TxnResult.Conflict -> {
+                is TransactionResult.Conflict -> {
                     if (Leadership.TERM in result.failed) {
                         leadership.stepDown("its term has been passed")
                     } else {
@@ -167,7 +170,7 @@
         store.get("over/${job.spec.id}", Urgency.FINISH) { read ->
             if (!stillMine(term)()) return@get
             val end = (read as? Read.Found)?.value?.value?.let { learnEnd(job.spec.id, it) }
-            if (end != null) ended(job, end.standing) else ctx.later(1.0) { if (stillMine(term)()) readEnd(job) }
+            if (end != null) ended(job, end.standing) else context.later(1.0) { if (stillMine(term)()) readEnd(job) }
         }
     }
 
@@ -183,7 +186,7 @@
         job.claims.values
             .filter { it.phase == Phase.CLAIMED }
             .forEach { claims.release(it, lost = true) }
-        ctx.info("job ${job.spec.id} is ${standing.wire} after ${(ctx.wallMs - job.submittedMs) / 1000} s")
+        context.info("job ${job.spec.id} is ${standing.wire} after ${(context.wallMs - job.submittedMs) / 1000} s")
         job.whenOver.forEach { it(standing) }
         job.whenOver.clear()
     }
@@ -191,18 +194,18 @@
     // --- lazy writes
 
     fun tick() {
-        if (ctx.now - lastCleanAt < CLEAN_S) return
-        lastCleanAt = ctx.now
+        if (context.now - lastCleanAt < CLEAN_S) return
+        lastCleanAt = context.now
         jobs.values.forEach { flush(it) }
         if (leftovers.isNotEmpty()) removeLeftovers()
         claims.clean()
     }
 
     private fun removeLeftovers() {
-        val some = leftovers.take(ctx.settings.store.txnOps)
+        val some = leftovers.take(context.settings.store.changesPerTransaction)
         leftovers -= some.toSet()
-        store.ensure(Txn(listOf(fence()), some.map { Op.Delete(it) }), Urgency.CLEANUP, stillMine(leadership.term)) { result ->
-            if (result !is TxnResult.Done) leadership.stepDown("its term has been passed")
+        store.ensure(Transaction(listOf(fence()), some.map { Change.Delete(it) }), Urgency.CLEANUP, stillMine(leadership.term)) { result ->
+            if (result !is TransactionResult.Done) leadership.stepDown("its term has been passed")
         }
     }
 
@@ -212,33 +215,37 @@
      */
     private fun flush(job: Job) {
         if (job.flushing || job.ending != null || flushing >= MOST_FLUSHES) return
-        if (job.done.cardinality() == job.durable.cardinality() || ctx.now < job.unwrittenSince + ctx.settings.workers.leaseS) return
+        if (job.done.cardinality() == job.durable.cardinality() ||
+            context.now < job.unwrittenSince + context.settings.workers.leaseS
+        ) {
+            return
+        }
         val fresh = job.done.clone() as BitSet
         fresh.andNot(job.durable)
         val part = progress.partOf(job, fresh.nextSetBit(0))
         val written = job.done.get(part.first, part.end)
         job.flushing = true
         flushing++
-        ctx.count("intent.progress")
-        job.unwrittenSince = ctx.now
+        context.count("intent.progress")
+        job.unwrittenSince = context.now
         // Under the row's own stamp: an earlier copy carried out late would else undo what a later one wrote.
         val before = job.progress.getOrPut(part.key) { 0L }
         val conditions = listOf(fence(), Condition("live/${job.spec.id}", job.stamp), Condition(part.key, before))
-        val txn = Txn(conditions, listOf(Op.Put(part.key, progress.encode(job.done, part))))
+        val txn = Transaction(conditions, listOf(Change.Put(part.key, progress.encode(job.done, part))))
         store.ensure(txn, Urgency.FINISH, stillMine(leadership.term)) { result ->
             job.flushing = false
             flushing--
             when {
-                result is TxnResult.Done -> {
+                result is TransactionResult.Done -> {
                     job.progress[part.key] = result.revision
                     written.stream().forEach { job.durable.set(part.first + it) }
                 }
 
-                result is TxnResult.Conflict && Leadership.TERM in result.failed -> {
+                result is TransactionResult.Conflict && Leadership.TERM in result.failed -> {
                     leadership.stepDown("its term has been passed")
                 }
 
-                result is TxnResult.Conflict && part.key in result.failed -> {
+                result is TransactionResult.Conflict && part.key in result.failed -> {
                     readProgress(job, part.key)
                 }
             }
--- a/src/main/kotlin/burlridge/intent/Progress.kt
+++ b/src/main/kotlin/burlridge/intent/Progress.kt
@@ -1,6 +1,6 @@
 package burlridge.intent
 
-import burlridge.app.Json
+import burlridge.core.Json
 import burlridge.store.Row
 import com.fasterxml.jackson.databind.JsonNode
 import java.util.Base64
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -1,20 +1,21 @@
 package burlridge.leadership
 
-import burlridge.app.Context
-import burlridge.app.Json
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.intake.Found
 import burlridge.peer.PeerMessage
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Read
 import burlridge.store.Store
-import burlridge.store.Txn
-import burlridge.store.TxnResult
+import burlridge.store.Transaction
+import burlridge.store.TransactionResult
 import burlridge.store.Urgency
 import com.fasterxml.jackson.databind.JsonNode
 
 /** One leader at a time, by a tethered row and a term raised by compare-and-swap. */
 internal class Leadership(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
     private val events: Events,
 ) {
@@ -24,7 +25,7 @@
         fun onDeposed()
     }
 
-    private val settings = ctx.settings
+    private val settings = context.settings
     private val usualTtlS = settings.workers.reportS * settings.operator.leaseReports
 
     /** The lease of this member's terms: longer after it was deposed alive, merely slow, so that two slow members do not take turns. */
@@ -53,7 +54,7 @@
     var knownLeader: String? = null
         private set
     private var knownLeaderAt = 0.0
-    private var tether = 0L
+    private var leaseId = 0L
     private var renewedAt = 0.0
     private var nextRenewAt = 0.0
     private var renewing = false
@@ -69,15 +70,15 @@
     private var former: Set<String> = emptySet()
 
     /** True while no other member can have been elected. */
-    val standing: Boolean get() = leading && ctx.now < renewedAt + ttlS * (1 - DRIFT) - MARGIN_S
+    val holdsLease: Boolean get() = leading && context.now < renewedAt + ttlS * (1 - DRIFT) - MARGIN_S
 
     /**
-     * True while this leader may answer workers, a while beyond [standing]: through an outage that all members share. One that
+     * True while this leader may answer workers, a while beyond [holdsLease]: through an outage that all members share. One that
      * hears neither the state service nor any member is cut off itself, and its workers are better off with whoever follows.
      */
     val answering: Boolean
-        get() = leading && ctx.now < renewedAt + answerBoundS * (1 - DRIFT) && (standing || settings.others.isEmpty() || !isolated)
-    private val isolated: Boolean get() = ctx.now > peerHeardAt + ttlS
+        get() = leading && context.now < renewedAt + answerBoundS * (1 - DRIFT) && (holdsLease || settings.others.isEmpty() || !isolated)
+    private val isolated: Boolean get() = context.now > peerHeardAt + ttlS
     private var peerHeardAt = 0.0
 
     /** No other member can be answering workers by an earlier term after this time. */
@@ -92,22 +93,22 @@
     fun stillMine(term: Long): () -> Boolean = { leading && this.term == term }
 
     fun tick() {
-        late = late || (leading && ctx.now > lastTickAt + ttlS / LATE_PART)
-        lastTickAt = ctx.now
+        late = late || (leading && context.now > lastTickAt + ttlS / LATE_PART)
+        lastTickAt = context.now
         if (leading) {
-            if (!renewing && ctx.now >= nextRenewAt) renew()
-        } else if (!campaigning && ctx.now >= nextPollAt) {
+            if (!renewing && context.now >= nextRenewAt) renew()
+        } else if (!campaigning && context.now >= nextPollAt) {
             poll()
         }
     }
 
     private fun renew() {
         renewing = true
-        val sentAt = ctx.now
-        val mine = tether
+        val sentAt = context.now
+        val mine = leaseId
         store.renewLease(mine, ttlS / 3) { status ->
             renewing = false
-            if (!leading || tether != mine) return@renewLease
+            if (!leading || leaseId != mine) return@renewLease
             when (status) {
                 200 -> {
                     renewedAt = sentAt
@@ -119,7 +120,7 @@
                 }
 
                 else -> {
-                    nextRenewAt = ctx.now + ttlS / 12
+                    nextRenewAt = context.now + ttlS / 12
                 }
             }
         }
@@ -129,15 +130,15 @@
         if (!leading) return
         leading = false
         if (late) ttlS = minOf(ttlS * 2, usualTtlS * MOST_USUAL)
-        ctx.info("leader change: term $term is over here: $reason")
+        context.info("leader change: term $term is over here: $reason")
         knownLeader = null
-        nextPollAt = ctx.now
+        nextPollAt = context.now
         store.leading(false)
         events.onDeposed()
     }
 
     private fun poll() {
-        nextPollAt = ctx.now + ttlS / 6 * (0.8 + 0.4 * ctx.random.nextDouble())
+        nextPollAt = context.now + ttlS / 6 * (0.8 + 0.4 * context.random.nextDouble())
         store.get(LEADER, Urgency.LEADERSHIP) { read ->
             if (leading || campaigning) return@get
             when (read) {
@@ -183,7 +184,7 @@
             if (watched != stamp) return@follow
             watched = 0
             val changed = status == OK && body != null && body.path("events").size() > 0
-            if (changed && !leading) nextPollAt = minOf(nextPollAt, ctx.now + ttlS / WATCH_SPREAD * ctx.random.nextDouble())
+            if (changed && !leading) nextPollAt = minOf(nextPollAt, context.now + ttlS / WATCH_SPREAD * context.random.nextDouble())
         }
     }
 
@@ -196,7 +197,7 @@
                 return@get
             }
             val next = (found?.value?.path("n")?.asLong() ?: 0L) + 1
-            val sentAt = ctx.now
+            val sentAt = context.now
             store.createLease((ttlS * 1000).toLong()) { lease ->
                 val led = found?.value?.let(::ledLately) ?: if (found == null) emptyMap() else null
                 if (lease == null) campaigning = false else claim(leaderStamp, found?.stamp ?: 0, next, lease, sentAt, led)
@@ -218,13 +219,13 @@
                 put("term", next)
             }
         val txn =
-            Txn(
+            Transaction(
                 listOf(Condition(LEADER, leaderStamp), Condition(TERM, termStamp)),
-                listOf(Op.Put(LEADER, row, lease), Op.Put(TERM, termRow(next, led.orEmpty()))),
+                listOf(Change.Put(LEADER, row, lease), Change.Put(TERM, termRow(next, led.orEmpty()))),
             )
         store.txn(txn, Urgency.LEADERSHIP) { result ->
             campaigning = false
-            if (result is TxnResult.Done) {
+            if (result is TransactionResult.Done) {
                 // Our own former self is dead; where the row tells no history, anyone may have led.
                 former = (led?.keys ?: settings.others.mapTo(HashSet()) { it.member }) - settings.member
                 elected(next, result.revision, lease, sentAt)
@@ -239,9 +240,9 @@
     private fun ledLately(row: JsonNode): Map<String, Long>? {
         val history = row.path("led").takeIf { it.isObject } ?: return null
         val last = row.path("by").takeIf { it.isTextual }?.asText() ?: return null
-        val led = history.properties().associate { (member, endedMs) -> member to endedMs.asLong() } + (last to ctx.wallMs)
+        val led = history.properties().associate { (member, endedMs) -> member to endedMs.asLong() } + (last to context.wallMs)
         val keptMs = (answerBoundS * HISTORY_BOUNDS * MS_A_S).toLong()
-        return led.filterValues { ctx.wallMs - it < keptMs }
+        return led.filterValues { context.wallMs - it < keptMs }
     }
 
     private fun termRow(
@@ -263,19 +264,19 @@
         term = newTerm
         highestTerm = maxOf(highestTerm, newTerm)
         fence = revision
-        tether = lease
+        leaseId = lease
         leading = true
         late = false
-        lastTickAt = ctx.now
+        lastTickAt = context.now
         renewing = false
         renewedAt = sentAt
-        nextRenewAt = ctx.now
-        electedAt = ctx.now
+        nextRenewAt = context.now
+        electedAt = context.now
         silentPeers.clear()
         silentSince = 0.0
         knownLeader = settings.member
         store.leading(true)
-        ctx.info("leader change: ${settings.member} leads term $term")
+        context.info("leader change: ${settings.member} leads term $term")
         events.onElected()
         announce()
     }
@@ -288,14 +289,14 @@
         highestTerm = atTerm
         if (leading && atTerm > term) stepDown("$leader leads term $atTerm")
         if (!leading) {
-            if (knownLeader != leader) ctx.info("leader change: $leader leads term $atTerm")
+            if (knownLeader != leader) context.info("leader change: $leader leads term $atTerm")
             knownLeader = leader
-            knownLeaderAt = ctx.now
+            knownLeaderAt = context.now
         }
     }
 
     fun heard(status: PeerMessage.Status) {
-        peerHeardAt = ctx.now
+        peerHeardAt = context.now
         // A member that follows a later leader tells of it as well: that leader itself may be out of reach.
         if (status.leading) {
             learn(status.from, status.term)
@@ -303,7 +304,7 @@
             heardOf(status)
         }
         val confirms = leading && status.from in former && !status.answering && status.term >= term
-        if (confirms && silentPeers.add(status.from)) silentSince = ctx.now
+        if (confirms && silentPeers.add(status.from)) silentSince = context.now
     }
 
     private fun heardOf(status: PeerMessage.Status) {
@@ -312,7 +313,7 @@
 
     fun announce(unheard: List<String> = emptyList()) {
         val message = PeerMessage.Status(settings.member, highestTerm, knownLeader.orEmpty(), leading, answering, store.served, unheard)
-        settings.others.forEach { ctx.send(it.member, message) }
+        settings.others.forEach { context.send(it.member, message) }
     }
 
     internal companion object {
--- a/src/main/kotlin/burlridge/leadership/Versions.kt
+++ b/src/main/kotlin/burlridge/leadership/Versions.kt
@@ -1,11 +1,11 @@
 package burlridge.leadership
 
-import burlridge.app.Context
-import burlridge.app.Json
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.store.Change
 import burlridge.store.Condition
-import burlridge.store.Op
 import burlridge.store.Store
-import burlridge.store.Txn
+import burlridge.store.Transaction
 import burlridge.store.Urgency
 
 /**
@@ -15,11 +15,11 @@
  * starts reads them again.
  */
 internal class Versions(
-    private val ctx: Context,
+    private val context: Context,
     private val store: Store,
 ) {
-    private val members = ctx.settings.others.mapTo(HashSet()) { it.member } + ctx.settings.member
-    private val wanted = ctx.settings.workers.gang != null
+    private val members = context.settings.others.mapTo(HashSet()) { it.member } + context.settings.member
+    private val wanted = context.settings.workers.gang != null
 
     /** Once all know gangs they always will. */
     var allKnowGangs: Boolean = false
@@ -28,7 +28,7 @@
     private var busy = false
 
     fun tick() {
-        if (!wanted || allKnowGangs || busy || ctx.now < nextAt) return
+        if (!wanted || allKnowGangs || busy || context.now < nextAt) return
         look(Urgency.CLEANUP) {}
     }
 
@@ -42,15 +42,15 @@
         then: (Boolean?) -> Unit,
     ) {
         busy = true
-        nextAt = ctx.now + ctx.settings.workers.reportS
+        nextAt = context.now + context.settings.workers.reportS
         store.list(PREFIX, urgency) { listing ->
             busy = false
             if (listing == null) return@list then(null)
             val known = listing.rows.filter { it.value.path("v").asInt() >= KNOWS_GANGS }.map { it.key.removePrefix(PREFIX) }
-            if (ctx.settings.member !in known) write()
+            if (context.settings.member !in known) write()
             if (!allKnowGangs && known.containsAll(members)) {
                 allKnowGangs = true
-                ctx.info("every member knows gangs: they are taken from now on")
+                context.info("every member knows gangs: they are taken from now on")
             }
             then(allKnowGangs)
         }
@@ -58,8 +58,8 @@
 
     private fun write() {
         val row = Json.obj { put("v", KNOWS_GANGS) }
-        val key = PREFIX + ctx.settings.member
-        store.txn(Txn(listOf(Condition(key, 0)), listOf(Op.Put(key, row))), Urgency.CLEANUP) {}
+        val key = PREFIX + context.settings.member
+        store.txn(Transaction(listOf(Condition(key, 0)), listOf(Change.Put(key, row))), Urgency.CLEANUP) {}
     }
 
     private companion object {
--- a/src/main/kotlin/burlridge/app/Connection.kt
+++ b/src/main/kotlin/burlridge/net/Connection.kt
@@ -1,5 +1,6 @@
-package burlridge.app
+package burlridge.net
 
+import burlridge.core.Endpoint
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.cancel
@@ -129,7 +130,7 @@
         } catch (e: CancellationException) {
             throw e
         } catch (_: Exception) {
-            // The other side went away or sent rubbish; its connection ends with it.
+            // The other side closed the connection or sent malformed data: the connection ends.
         } finally {
             close()
         }
@@ -250,7 +251,7 @@
 
         /**
          * Accepts for as long as the loop runs. Where [admit] finds no place, or no socket can be had, accepting rests for a
-         * moment: whoever knocks waits in the backlog, and would else wake the loop over and over.
+         * moment: new connections wait in the backlog, and would otherwise wake the loop over and over.
          */
         fun listen(
             loop: EventLoop,
@@ -303,7 +304,7 @@
                 connection.handler = accepted(connection)
                 connection.key.interestOps(READ)
             } catch (_: IOException) {
-                // Gone before it could be served.
+                // Closed before it could be served.
                 channel.close()
             }
         }
--- a/src/main/kotlin/burlridge/app/EventLoop.kt
+++ b/src/main/kotlin/burlridge/net/EventLoop.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.net
 
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
--- a/src/main/kotlin/burlridge/app/KnownHead.kt
+++ b/src/main/kotlin/burlridge/net/RequestHead.kt
@@ -1,10 +1,10 @@
-package burlridge.app
+package burlridge.net
 
 /**
  * The head of a request that Ktor's parser has read. Workers and health checks all send the same one again and again, but for the
  * length of the body: such a request need not be parsed anew, which was a quarter of a leader's time.
  */
-internal class KnownHead private constructor(
+internal class RequestHead private constructor(
     private val head: ByteArray,
     /** Where the digits of the body's length stand in [head]; both are its size where a request has no body. */
     private val lengthAt: Int,
@@ -45,7 +45,7 @@
             method: String,
             uri: String,
             bodySize: Int,
-        ): KnownHead? {
+        ): RequestHead? {
             val size = bytes.size - bodySize
             if (size < END.length) return null
             val text = String(bytes, 0, size, Charsets.ISO_8859_1)
@@ -54,14 +54,14 @@
             if ("\r\ntransfer-encoding" in lower || "\r\nconnection:" in lower) return null
             val head = bytes.copyOf(size)
             val name = lower.indexOf(NAME)
-            if (name < 0) return if (bodySize == 0) KnownHead(head, size, size, method, uri) else null
+            if (name < 0) return if (bodySize == 0) RequestHead(head, size, size, method, uri) else null
             if (lower.indexOf(NAME, name + 1) >= 0) return null
             var at = name + NAME.length
             while (lower[at] == ' ') at++
             var end = at
             while (lower[end] in '0'..'9') end++
             val plain = end > at && lower.startsWith("\r\n", end) && text.substring(at, end) == bodySize.toString()
-            return if (plain) KnownHead(head, at, end, method, uri) else null
+            return if (plain) RequestHead(head, at, end, method, uri) else null
         }
 
         private const val END = "\r\n\r\n"
--- a/src/main/kotlin/burlridge/peer/PeerLinks.kt
+++ b/src/main/kotlin/burlridge/peer/PeerLinks.kt
@@ -1,9 +1,9 @@
 package burlridge.peer
 
-import burlridge.app.Connection
-import burlridge.app.Endpoint
-import burlridge.app.EventLoop
-import burlridge.app.Settings
+import burlridge.core.Endpoint
+import burlridge.core.Settings
+import burlridge.net.Connection
+import burlridge.net.EventLoop
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
 import kotlinx.coroutines.CancellationException
--- a/src/main/kotlin/burlridge/peer/Peers.kt
+++ b/src/main/kotlin/burlridge/peer/Peers.kt
@@ -1,22 +1,22 @@
 package burlridge.peer
 
-import burlridge.app.Answer
-import burlridge.app.Context
+import burlridge.core.Answer
+import burlridge.core.Context
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
 
 /** Links between the controllers: statuses, requests passed to the leader, and news of accepted jobs. */
 internal class Peers(
-    private val ctx: Context,
+    private val context: Context,
 ) {
     private val asked = Long2ObjectOpenHashMap<(Answer?) -> Unit>()
 
     /** Begins anywhere: a reply to a question of our former self must not meet one of ours. */
-    private var nextAsk = ctx.random.nextLong(Long.MAX_VALUE / 2)
+    private var nextAsk = context.random.nextLong(Long.MAX_VALUE / 2)
     private val statuses = HashMap<String, PeerMessage.Status>()
     private val heardAt = HashMap<String, Double>()
 
     fun heard(message: PeerMessage) {
-        heardAt[message.from] = ctx.now
+        heardAt[message.from] = context.now
         if (message is PeerMessage.Status) statuses[message.from] = message
     }
 
@@ -28,7 +28,7 @@
         zone: String,
     ): Boolean = statuses[leader]?.let { it.leading && zone in it.unheard } ?: false
 
-    fun silent(member: String): Boolean = ctx.now > (heardAt[member] ?: -1e9) + SILENT_S
+    fun silent(member: String): Boolean = context.now > (heardAt[member] ?: -1e9) + SILENT_S
 
     /** Asks [member]; null when it does not answer in time. A member long unheard of is not waited for. */
     fun ask(
@@ -42,8 +42,8 @@
         if (silent(member)) return then(null)
         val id = nextAsk++
         asked.put(id, then)
-        ctx.send(member, PeerMessage.Ask(ctx.settings.member, id, method, path, body))
-        ctx.later(patienceS) { asked.remove(id)?.invoke(null) }
+        context.send(member, PeerMessage.Ask(context.settings.member, id, method, path, body))
+        context.later(patienceS) { asked.remove(id)?.invoke(null) }
     }
 
     fun replied(reply: PeerMessage.Reply) {
@@ -51,7 +51,7 @@
     }
 
     fun tellAccepted(job: String) {
-        ctx.settings.others.forEach { ctx.send(it.member, PeerMessage.Accepted(ctx.settings.member, job)) }
+        context.settings.others.forEach { context.send(it.member, PeerMessage.Accepted(context.settings.member, job)) }
     }
 
     private companion object {
--- a/src/main/kotlin/burlridge/placement/Fit.kt
+++ b/src/main/kotlin/burlridge/placement/Fit.kt
@@ -1,6 +1,6 @@
 package burlridge.placement
 
-import burlridge.app.Context
+import burlridge.core.Context
 import burlridge.fleet.Fleet
 import burlridge.intake.JobSpec
 import burlridge.intake.Size
@@ -8,16 +8,16 @@
 
 /** Best fit over a few sampled machines. */
 internal class Fit(
-    private val ctx: Context,
+    private val context: Context,
     private val fleet: Fleet,
 ) {
-    private val sampleSize = ctx.settings.operator.sample
+    private val sampleSize = context.settings.operator.sample
 
     fun overLimit(
         name: String,
         use: Size,
     ): Boolean {
-        val team = ctx.settings.teams[name] ?: return true
+        val team = context.settings.teams[name] ?: return true
         return (team.cpusMax > 0 && use.cpus > team.cpusMax) || (team.gpusMax > 0 && use.gpus > team.gpusMax)
     }
 
@@ -48,10 +48,10 @@
         // Drawn ones go to the end, so that none is drawn twice.
         var open = rooms.size
         while (drawn < sampleSize && open > 0) {
-            val at = ctx.random.nextInt(open)
+            val at = context.random.nextInt(open)
             val room = rooms[at]
             open--
-            ctx.count("placement.candidates")
+            context.count("placement.candidates")
             rooms[at] = rooms[open]
             rooms[open] = room
             if (!fits(spec, zones, room)) {
--- a/src/main/kotlin/burlridge/placement/GangPlacement.kt
+++ b/src/main/kotlin/burlridge/placement/GangPlacement.kt
@@ -1,6 +1,6 @@
 package burlridge.placement
 
-import burlridge.app.Context
+import burlridge.core.Context
 import burlridge.fleet.Fleet
 import burlridge.intake.JobSpec
 import burlridge.intent.Charge
@@ -14,62 +14,62 @@
  * run number is claimed for them all.
  */
 internal class GangPlacement(
-    private val ctx: Context,
+    private val context: Context,
     private val workers: Workers,
     private val fleet: Fleet,
     private val fit: Fit,
 ) {
-    /** Within which a lane's gangs are to start. */
+    /** Within which a job class's gangs are to start. */
     private val startWithin =
-        ctx.settings.objectives
-            .filter { it.kind == "wait" && it.lane != null && it.withinS != null }
-            .groupBy { it.lane }
+        context.settings.objectives
+            .filter { it.kind == "wait" && it.jobClass != null && it.withinS != null }
+            .groupBy { it.jobClass }
             .mapValues { (_, aims) -> aims.minOf { it.withinS ?: Double.MAX_VALUE } }
 
-    /** A gang whose lane is to start at once: it is placed first, and room for the next one is kept. */
-    fun isEarly(job: Job): Boolean = job.spec.gang && startWithin.containsKey(job.spec.lane)
+    /** A gang whose job class is to start at once: it is placed first, and room for the next one is kept. */
+    fun isEarly(job: Job): Boolean = job.spec.gang && startWithin.containsKey(job.spec.jobClass)
 
-    /** Whether the next attempt may be claimed: nothing of the last one, nor any stray of it, is left anywhere. */
+    /** Whether the next attempt may be claimed: nothing of the last one, nor any orphaned task of it, is left anywhere. */
     fun mayBegin(job: Job): Boolean =
-        Gangs.state(job) == Gangs.State.FREE && job.notBefore.getOrDefault(0, 0.0) <= ctx.now && !workers.hasStrays(job.spec.id)
+        Gangs.state(job) == Gangs.State.FREE && job.notBefore.getOrDefault(0, 0.0) <= context.now && !workers.hasOrphans(job.spec.id)
 
     /** Where there is no room for all, what there is is kept from those that come after, until it is enough. */
     fun place(
         job: Job,
-        draft: Draft,
+        plan: PlacementPlan,
     ) {
         val spec = job.spec
-        val after = draft.used(spec.team) + spec.size * spec.tasks
+        val after = plan.used(spec.team) + spec.size * spec.tasks
         if (fit.overLimit(spec.team, after)) {
             // Its team's limit is kept for it as well, or single tasks would use each bit that falls free.
-            draft.used[spec.team] = after
+            plan.used[spec.team] = after
             return
         }
-        val groups = groups(spec, draft)
+        val groups = groups(spec, plan)
         for (rooms in groups) {
             if (seatsIn(rooms, spec) < spec.tasks) continue
             val seats = seat(spec, spec.tasks, rooms)
             if (seats.size == spec.tasks) {
-                draft.used[spec.team] = after
-                draft.jobs += spec.id
+                plan.used[spec.team] = after
+                plan.jobs += spec.id
                 val run = job.highestRun + 1
-                seats.forEachIndexed { task, room -> draft.claims += claim(spec, task, run, room) }
+                seats.forEachIndexed { task, room -> plan.claims += claim(spec, task, run, room) }
                 return
             }
             seats.forEach { it.free += spec.size }
         }
         // Not where even empty machines would not do: room kept for what can never come would be lost to all others.
         groups
-            .filter { rooms -> wholeSeats(spec, draft, rooms) >= spec.tasks }
+            .filter { rooms -> wholeSeats(spec, plan, rooms) >= spec.tasks }
             .maxByOrNull { seatsIn(it, spec) }
             ?.let { seat(spec, spec.tasks, it) }
     }
 
     /** Room for the gangs that surely come soon is kept from all other work; never more than a part of what there is. */
-    fun keepRoom(draft: Draft) {
+    fun keepRoom(plan: PlacementPlan) {
         for (need in fleet.expectedGangs()) {
-            val rooms = groups(need.spec, draft).firstOrNull() ?: continue
-            val most = wholeSeats(need.spec, draft, rooms) / MOST_KEPT
+            val rooms = groups(need.spec, plan).firstOrNull() ?: continue
+            val most = wholeSeats(need.spec, plan, rooms) / MOST_KEPT
             seat(need.spec, minOf(need.tasks, most), rooms)
         }
     }
@@ -82,11 +82,11 @@
     /** How many tasks of [spec] the machines of the group that [rooms] belong to would hold if nothing else were on them. */
     private fun wholeSeats(
         spec: JobSpec,
-        draft: Draft,
+        plan: PlacementPlan,
         rooms: List<Room>,
     ): Int {
         val zone = rooms.firstOrNull()?.machine?.zone ?: return 0
-        return draft.poolsFor(spec).filter { !spec.oneZone || it.first.zone == zone }.sumOf { it.machines * it.whole.holds(spec.size) }
+        return plan.poolsFor(spec).filter { !spec.oneZone || it.first.zone == zone }.sumOf { it.machines * it.whole.holds(spec.size) }
     }
 
     private fun claim(
@@ -99,9 +99,9 @@
     /** The rooms that may hold the gang together: those of a zone where it must be one, the zone that holds its image first. */
     private fun groups(
         spec: JobSpec,
-        draft: Draft,
+        plan: PlacementPlan,
     ): List<List<Room>> {
-        val rooms = draft.poolsFor(spec).flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
+        val rooms = plan.poolsFor(spec).flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }
         if (!spec.oneZone) return listOf(rooms)
 
         return rooms
@@ -145,7 +145,7 @@
         rooms: List<Room>,
     ): List<List<Room>> {
         val (holders, others) = rooms.partition { spec.image in it.machine.images }
-        val limitS = startWithin[spec.lane] ?: Double.MAX_VALUE
+        val limitS = startWithin[spec.jobClass] ?: Double.MAX_VALUE
         val byType = others.groupBy { it.machine.type }.values
         val (quick, slow) = byType.partition { fit.fetchS(it.first().machine, spec) * SLOW_FETCH <= limitS }
         return listOf(holders) + quick + slow.sortedBy { fit.fetchS(it.first().machine, spec) }
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -1,6 +1,6 @@
 package burlridge.placement
 
-import burlridge.app.Context
+import burlridge.core.Context
 import burlridge.fleet.Fleet
 import burlridge.fleet.Offer
 import burlridge.intake.JobSpec
@@ -14,55 +14,56 @@
 
 /** Team queues served in turn by shares, and best fit over a few sampled machines. */
 internal class Placement(
-    private val ctx: Context,
+    private val context: Context,
     private val ledger: Ledger,
     private val workers: Workers,
     private val fleet: Fleet,
 ) {
     /** Lanes whose tasks must start within a report interval: to them a fetch is most of the wait. */
-    private val urgentLanes =
-        ctx.settings.objectives
-            .filter { it.kind == "wait" && (it.withinS ?: Double.MAX_VALUE) < ctx.settings.workers.reportS }
-            .mapNotNull { it.lane }
+    private val urgentClasses =
+        context.settings.objectives
+            .filter { it.kind == "wait" && (it.withinS ?: Double.MAX_VALUE) < context.settings.workers.reportS }
+            .mapNotNull { it.jobClass }
             .toSet()
 
     private val finishAims =
-        ctx.settings.objectives
-            .filter { it.kind == "finished" && it.lane != null && it.withinS != null }
-            .associate { it.lane to it.withinS }
-    private val fit = Fit(ctx, fleet)
-    private val gangs = GangPlacement(ctx, workers, fleet, fit)
+        context.settings.objectives
+            .filter { it.kind == "finished" && it.jobClass != null && it.withinS != null }
+            .associate { it.jobClass to it.withinS }
+    private val fit = Fit(context, fleet)
+    private val gangs = GangPlacement(context, workers, fleet, fit)
 
     /** One round: as many waiting tasks as there is room for and one row holds. */
     fun round() {
         if (ledger.claims.claiming >= MOST_OPEN_ROUNDS) return
         val queue = queue()
         if (queue.isEmpty()) return
-        val draft = Draft(pools(), HashMap(ledger.claims.used))
-        ctx.count("placement.rounds")
-        if (draft.pools.all { it.rooms.isEmpty() }) return
+        val plan = PlacementPlan(pools(), HashMap(ledger.claims.used))
+        context.count("placement.rounds")
+        if (plan.pools.all { it.rooms.isEmpty() }) return
         val (early, others) = queue.partition { gangs.isEarly(it) }
-        early.forEach { if (!full(draft)) gangs.place(it, draft) }
-        gangs.keepRoom(draft)
+        early.forEach { if (!full(plan)) gangs.place(it, plan) }
+        gangs.keepRoom(plan)
         for (job in others) {
-            if (full(draft)) break
+            if (full(plan)) break
             if (job.spec.gang) {
-                gangs.place(job, draft)
-            } else if (!draft.inVain(job.spec)) {
-                place(job, draft)
+                gangs.place(job, plan)
+            } else if (!plan.isUnplaceable(job.spec)) {
+                place(job, plan)
             }
         }
-        if (draft.claims.isEmpty()) return
-        ctx.debug("claims ${draft.claims.size} starts of ${draft.jobs.size} jobs")
+        if (plan.claims.isEmpty()) return
+        context.debug("claims ${plan.claims.size} starts of ${plan.jobs.size} jobs")
         // Only a gang is claimed beyond what one row holds: it begins once all its rows are written.
-        draft.claims.chunked(ledger.claims.mostStarts).forEach { claims ->
+        plan.claims.chunked(ledger.claims.mostStarts).forEach { claims ->
             ledger.claims.claim(claims) { granted ->
                 granted.map { it.machine }.distinct().forEach { id -> workers.machines[id]?.let(workers::command) }
             }
         }
     }
 
-    private fun full(draft: Draft): Boolean = draft.claims.size >= ledger.claims.mostStarts || draft.jobs.size >= ledger.claims.mostJobs
+    private fun full(plan: PlacementPlan): Boolean =
+        plan.claims.size >= ledger.claims.mostStarts || plan.jobs.size >= ledger.claims.mostJobs
 
     /** The smallest machines first: a task that fits one should not break up a larger one. */
     private fun pools(): List<Pool> {
@@ -80,16 +81,18 @@
     }
 
     private fun usable(machine: Machine): Boolean =
-        machine.up && machine.hears && !machine.lapsed && !machine.leaving && machine.recallAt == null && ctx.now >= machine.notBefore &&
-            !workers.silent(machine) && !workers.mute(machine) &&
-            ctx.now >= machine.nextCommandAt && workers.reaches(machine)
+        isUp(machine) && context.now >= machine.notBefore && context.now >= machine.nextCommandAt &&
+            !workers.silent(machine) && !workers.mute(machine) && workers.reaches(machine)
+
+    private fun isUp(machine: Machine): Boolean =
+        machine.up && machine.hears && !machine.lapsed && !machine.draining && machine.recallAt == null
 
     private fun free(
         machine: Machine,
         whole: Size,
     ): Size {
         var free = whole - ledger.claims.usedOn(machine.id)
-        machine.strays.forEach { piece -> ledger.jobs[piece.substringBefore('/')]?.let { free -= it.spec.size } }
+        machine.orphans.forEach { taskName -> ledger.jobs[taskName.substringBefore('/')]?.let { free -= it.spec.size } }
         return free
     }
 
@@ -128,9 +131,9 @@
     }
 
     /** When the aims want a job complete, counted from its submission; null where none says. */
-    private fun limitS(job: Job): Double? = job.spec.deadlineS ?: finishAims[job.spec.lane]
+    private fun limitS(job: Job): Double? = job.spec.deadlineS ?: finishAims[job.spec.jobClass]
 
-    private fun ageS(job: Job): Double = (ctx.wallMs - job.submittedMs) / 1000.0
+    private fun ageS(job: Job): Double = (context.wallMs - job.submittedMs) / 1000.0
 
     /** A job that cannot be complete in time any more gives way to those that still can. */
     private fun tooLate(job: Job): Boolean = limitS(job)?.let { ageS(job) + job.spec.estimateS * SURE_PART > it } ?: false
@@ -144,7 +147,7 @@
     }
 
     private fun load(team: String): Double {
-        val share = ctx.settings.teams[team] ?: return 0.0
+        val share = context.settings.teams[team] ?: return 0.0
         val used = ledger.claims.used[team] ?: return 0.0
         return maxOf(if (share.cpus > 0) used.cpus / share.cpus else 0.0, if (share.gpus > 0) used.gpus / share.gpus else 0.0)
     }
@@ -152,33 +155,37 @@
     /** Places what it can of [job], in the smallest type of machine that has room for it. */
     private fun place(
         job: Job,
-        draft: Draft,
+        plan: PlacementPlan,
     ) {
         val spec = job.spec
         val zones = HashMap<String, Int>()
         if (spec.oneZone || spec.spread) job.claims.values.forEach { c -> zones.merge(c.zone, 1, Int::plus) }
         var task = next(job, 0)
-        val pools = draft.poolsFor(spec)
+        val pools = plan.poolsFor(spec)
         // The design samples blindly; where time presses, a fetch is too much of it while another machine holds the image.
         if (presses(spec, pools)) {
             val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && spec.size.fits(it.free) } }
-            task = fill(job, task, holders, zones, draft)
+            task = fill(job, task, holders, zones, plan)
         }
         // Where idle machines are returned, the dear ones of a type are filled last, so that they are the ones that go.
         for (group in pools.groupBy { it.first.type to (fleet.returnsIdle && it.first.spot) }.values) {
             if (task < 0) return
-            ctx.count("placement.candidates", group.sumOf { it.rooms.size })
-            task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, draft)
+            context.count("placement.candidates", group.sumOf { it.rooms.size })
+            task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, plan)
+        }
+        val stopped = plan.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, plan.used(spec.team) + spec.size)
+        if (task >= 0 && !stopped && !spec.oneZone &&
+            !spec.spread
+        ) {
+            plan.unplaceable += ResourceRequest(spec.types, spec.zone, spec.spot, spec.size)
         }
-        val stopped = draft.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, draft.used(spec.team) + spec.size)
-        if (task >= 0 && !stopped && !spec.oneZone && !spec.spread) draft.vain += Ask(spec.types, spec.zone, spec.spot, spec.size)
     }
 
     private fun presses(
         spec: JobSpec,
         pools: List<Pool>,
     ): Boolean {
-        if (spec.lane in urgentLanes) return true
+        if (spec.jobClass in urgentClasses) return true
         val slowest = pools.minOfOrNull { fit.fetchGbPerS(it.first.type) } ?: return false
         return spec.deadlineS != null && slowest > 0 && spec.imageGb / slowest > spec.estimateS * LONG_FETCH
     }
@@ -189,23 +196,23 @@
         first: Int,
         rooms: List<Room>,
         zones: HashMap<String, Int>,
-        draft: Draft,
+        plan: PlacementPlan,
     ): Int {
         val spec = job.spec
         var task = first
         // Where idle machines are returned, those in use go first, so that others fall idle.
         val (idle, inUse) = rooms.partition { fleet.returnsIdle && it.free == it.whole }
         val (empty, shared) = idle.toMutableList() to inUse.toMutableList()
-        while (task >= 0 && draft.claims.size < ledger.claims.mostStarts) {
-            val after = draft.used(spec.team) + spec.size
+        while (task >= 0 && plan.claims.size < ledger.claims.mostStarts) {
+            val after = plan.used(spec.team) + spec.size
             if (fit.overLimit(spec.team, after)) break
             val room = fit.sample(shared, spec, zones) ?: fit.sample(empty, spec, zones) ?: break
             if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
             room.free -= spec.size
-            draft.used[spec.team] = after
-            draft.jobs += spec.id
+            plan.used[spec.team] = after
+            plan.jobs += spec.id
             zones.merge(room.machine.zone, 1, Int::plus)
-            draft.claims += claim(job, task, room.machine)
+            plan.claims += claim(job, task, room.machine)
             task = next(job, task + 1)
         }
         return task
@@ -218,7 +225,7 @@
     ): Int {
         var task = job.taken.nextClearBit(from)
         while (task < job.spec.tasks) {
-            if (job.waits(task, ctx.now) && !workers.strays("${job.spec.id}/$task")) return task
+            if (job.waits(task, context.now) && !workers.orphans("${job.spec.id}/$task")) return task
             task = job.taken.nextClearBit(task + 1)
         }
         return -1
--- a/src/main/kotlin/burlridge/placement/Draft.kt
+++ b/src/main/kotlin/burlridge/placement/PlacementPlan.kt
@@ -26,7 +26,7 @@
 }
 
 /** What a job asks of a machine; where one job found no room, another that asks for no less need not look. */
-internal data class Ask(
+internal data class ResourceRequest(
     val types: List<String>?,
     val zone: String?,
     val spot: Boolean,
@@ -34,16 +34,16 @@
 )
 
 /** What one round has used up and found out. */
-internal class Draft(
+internal class PlacementPlan(
     val pools: List<Pool>,
     val used: HashMap<String, Size>,
 ) {
     val claims = ArrayList<Claim>()
     val jobs = HashSet<String>()
-    val vain = ArrayList<Ask>()
+    val unplaceable = ArrayList<ResourceRequest>()
 
-    fun inVain(spec: JobSpec): Boolean =
-        vain.any { it.types == spec.types && it.zone == spec.zone && (it.spot || !spec.spot) && it.size.fits(spec.size) }
+    fun isUnplaceable(spec: JobSpec): Boolean =
+        unplaceable.any { it.types == spec.types && it.zone == spec.zone && (it.spot || !spec.spot) && it.size.fits(spec.size) }
 
     fun used(team: String): Size = used[team] ?: Size.NONE
 
--- a/src/main/kotlin/burlridge/store/Store.kt
+++ b/src/main/kotlin/burlridge/store/Store.kt
@@ -1,8 +1,8 @@
 package burlridge.store
 
-import burlridge.app.Context
-import burlridge.app.Json
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Outcome
 import com.fasterxml.jackson.databind.JsonNode
 import com.google.common.base.Utf8
 
@@ -17,45 +17,45 @@
     val stamp: Long,
 )
 
-internal sealed interface Op {
+internal sealed interface Change {
     val key: String
 
     data class Put(
         override val key: String,
         val value: JsonNode,
-        val tether: Long? = null,
-    ) : Op
+        val leaseId: Long? = null,
+    ) : Change
 
     data class Delete(
         override val key: String,
-    ) : Op
+    ) : Change
 }
 
-internal data class Txn(
+internal data class Transaction(
     val conditions: List<Condition>,
-    val ops: List<Op>,
+    val ops: List<Change>,
 )
 
-internal sealed interface TxnResult {
+internal sealed interface TransactionResult {
     data class Done(
         val revision: Long,
-    ) : TxnResult
+    ) : TransactionResult
 
     data class Conflict(
         val failed: List<String>,
-    ) : TxnResult
+    ) : TransactionResult
 
     /** Definitely not executed. */
-    data object Refused : TxnResult
+    data object Refused : TransactionResult
 
     /** Possibly executed, or still to be executed. */
-    data object Unknown : TxnResult
+    data object Unknown : TransactionResult
 
     /** Larger than the state service takes, so never sent: repeating it would never help. */
-    data object TooLarge : TxnResult
+    data object TooLarge : TransactionResult
 
     /** The tether is gone, whatever the conditions are. */
-    data object NoLease : TxnResult
+    data object NoLease : TransactionResult
 }
 
 internal sealed interface Read<out T> {
@@ -75,9 +75,9 @@
 
 /** The client of the state service. Writes wait in a queue for this member's part of the shared budget. */
 internal class Store(
-    private val ctx: Context,
+    private val context: Context,
 ) {
-    private val settings = ctx.settings
+    private val settings = context.settings
 
     // Users come in bursts, and hardly to all members in the same second: each may use more than its part for a moment.
     private val writes = Bucket(settings.store.writeRps / BURST_PART)
@@ -101,7 +101,7 @@
     )
 
     /** Whether the state service has lately answered this member with anything but a refusal. */
-    val served: Boolean get() = lastRefusedAt < lastServedAt || ctx.now - lastServedAt < CALL_TIMEOUT_S
+    val served: Boolean get() = lastRefusedAt < lastServedAt || context.now - lastServedAt < CALL_TIMEOUT_S
 
     fun leading(yes: Boolean) {
         leads = yes
@@ -160,11 +160,11 @@
     }
 
     fun txn(
-        txn: Txn,
+        txn: Transaction,
         urgency: Urgency,
         patienceS: Double = WRITE_PATIENCE_S,
         onSend: () -> Unit = {},
-        then: (TxnResult) -> Unit,
+        then: (TransactionResult) -> Unit,
     ) {
         val body =
             Json.write(
@@ -175,26 +175,26 @@
             )
         val excess = excess(txn, body)
         if (excess != null) {
-            ctx.error("a transaction is not sent: $excess: ${txn.ops.joinToString(limit = 4) { it.key }}")
-            ctx.later(0.0) { then(TxnResult.TooLarge) }
+            context.error("a transaction is not sent: $excess: ${txn.ops.joinToString(limit = 4) { it.key }}")
+            context.later(0.0) { then(TransactionResult.TooLarge) }
             return
         }
-        enqueue(urgency, txn.ops.size, patienceS, { then(TxnResult.Refused) }) {
+        enqueue(urgency, txn.ops.size, patienceS, { then(TransactionResult.Refused) }) {
             onSend()
-            ctx.call(settings.state, "POST", "/multi", body, CALL_TIMEOUT_S) { outcome -> then(settle(outcome)) }
+            context.call(settings.state, "POST", "/multi", body, CALL_TIMEOUT_S) { outcome -> then(settle(outcome)) }
         }
     }
 
     /** The one place where every transaction meets the limits, those announced for later included; null where it keeps them. */
     private fun excess(
-        txn: Txn,
+        txn: Transaction,
         body: String,
     ): String? {
         val limits = settings.store
-        val largest = txn.ops.maxOfOrNull { if (it is Op.Put) bytesOf(it.value) else 0 } ?: 0
+        val largest = txn.ops.maxOfOrNull { if (it is Change.Put) bytesOf(it.value) else 0 } ?: 0
         return when {
-            txn.ops.size > limits.txnOps -> "${txn.ops.size} changes of ${limits.txnOps}"
-            txn.conditions.size > limits.txnOps * CONDITIONS_AN_OP -> "${txn.conditions.size} conditions"
+            txn.ops.size > limits.changesPerTransaction -> "${txn.ops.size} changes of ${limits.changesPerTransaction}"
+            txn.conditions.size > limits.changesPerTransaction * CONDITIONS_AN_OP -> "${txn.conditions.size} conditions"
             largest > limits.valueBytes -> "a value of $largest bytes of ${limits.valueBytes}"
             body.length > MOST_BYTES / 2 && Utf8.encodedLength(body) > MOST_BYTES -> "more than $MOST_BYTES bytes"
             else -> null
@@ -206,50 +206,50 @@
 
     private fun bytesOf(value: JsonNode): Int = Utf8.encodedLength(Json.write(value))
 
-    private fun encode(op: Op): JsonNode =
+    private fun encode(op: Change): JsonNode =
         when (op) {
-            is Op.Put -> {
+            is Change.Put -> {
                 Json.obj {
                     put("set", op.key)
                     set<JsonNode>("value", op.value)
-                    op.tether?.let { put("tether", it) }
+                    op.leaseId?.let { put("tether", it) }
                 }
             }
 
-            is Op.Delete -> {
+            is Change.Delete -> {
                 Json.obj { put("remove", op.key) }
             }
         }
 
-    private fun settle(outcome: Outcome): TxnResult {
+    private fun settle(outcome: Outcome): TransactionResult {
         note(outcome)
-        if (outcome is Outcome.NotSent) return TxnResult.Refused
-        val answer = outcome as? Outcome.Answered ?: return TxnResult.Unknown
+        if (outcome is Outcome.NotSent) return TransactionResult.Refused
+        val answer = outcome as? Outcome.Answered ?: return TransactionResult.Unknown
         val body = Json.parseOrNull(answer.body)
         return when {
             answer.status == 200 && body != null && body.path("ledgerRev").isNumber -> {
-                TxnResult.Done(body.path("ledgerRev").asLong())
+                TransactionResult.Done(body.path("ledgerRev").asLong())
             }
 
             answer.status == 409 && body != null -> {
-                TxnResult.Conflict(body.path("failed").map { it.asText() })
+                TransactionResult.Conflict(body.path("failed").map { it.asText() })
             }
 
             answer.status == 429 || answer.status == 503 -> {
-                TxnResult.Refused
+                TransactionResult.Refused
             }
 
             answer.status == 400 && body?.path("error")?.asText() == "no such lease" -> {
-                TxnResult.NoLease
+                TransactionResult.NoLease
             }
 
             answer.status == 400 -> {
-                ctx.error("state service calls a transaction malformed: ${answer.body}")
-                TxnResult.Refused
+                context.error("state service calls a transaction malformed: ${answer.body}")
+                TransactionResult.Refused
             }
 
             else -> {
-                TxnResult.Unknown
+                TransactionResult.Unknown
             }
         }
     }
@@ -259,22 +259,22 @@
      * [doubt] is told true while a copy may have been carried out without our knowing, and false once all that were sent are refused.
      */
     fun ensure(
-        txn: Txn,
+        txn: Transaction,
         urgency: Urgency,
         stillWanted: () -> Boolean,
         doubt: (Boolean) -> Unit = {},
-        then: (TxnResult) -> Unit,
+        then: (TransactionResult) -> Unit,
     ) {
         repeated(txn, urgency, stillWanted, doubt, everUnknown = false, then)
     }
 
     private fun repeated(
-        txn: Txn,
+        txn: Transaction,
         urgency: Urgency,
         stillWanted: () -> Boolean,
         doubt: (Boolean) -> Unit,
         everUnknown: Boolean,
-        then: (TxnResult) -> Unit,
+        then: (TransactionResult) -> Unit,
     ) {
         txn(txn, urgency, PATIENT_S, { doubt(true) }) { result ->
             when {
@@ -282,10 +282,10 @@
                     Unit
                 }
 
-                result is TxnResult.Refused || result is TxnResult.Unknown -> {
-                    val unknown = everUnknown || result is TxnResult.Unknown
+                result is TransactionResult.Refused || result is TransactionResult.Unknown -> {
+                    val unknown = everUnknown || result is TransactionResult.Unknown
                     doubt(unknown)
-                    ctx.later(RETRY_S) {
+                    context.later(RETRY_S) {
                         if (stillWanted()) repeated(txn, urgency, stillWanted, doubt, unknown, then)
                     }
                 }
@@ -310,15 +310,15 @@
 
     /** Calls back with 200, 404 or null where nothing is known. */
     fun renewLease(
-        tether: Long,
+        leaseId: Long,
         timeoutS: Double,
         then: (Int?) -> Unit,
     ) {
-        call("POST", "/leases/$tether/renew", "", timeoutS) { status, _ -> then(status.takeIf { it == 200 || it == 404 }) }
+        call("POST", "/leases/$leaseId/renew", "", timeoutS) { status, _ -> then(status.takeIf { it == 200 || it == 404 }) }
     }
 
-    fun dropLease(tether: Long) {
-        call("DELETE", "/leases/$tether", null, CALL_TIMEOUT_S) { _, _ -> }
+    fun dropLease(leaseId: Long) {
+        call("DELETE", "/leases/$leaseId", null, CALL_TIMEOUT_S) { _, _ -> }
     }
 
     fun follow(
@@ -340,7 +340,7 @@
         timeoutS: Double,
         then: (Int, JsonNode?) -> Unit,
     ) {
-        ctx.call(settings.state, method, path, body, timeoutS) { outcome ->
+        context.call(settings.state, method, path, body, timeoutS) { outcome ->
             note(outcome)
             if (outcome is Outcome.Answered) then(outcome.status, Json.parseOrNull(outcome.body)) else then(0, null)
         }
@@ -351,10 +351,10 @@
         if (status == 429) {
             writes.drain()
             requests.drain()
-            pausedUntil = ctx.now + RETRY_S
-            ctx.info("state service answers 429")
+            pausedUntil = context.now + RETRY_S
+            context.info("state service answers 429")
         }
-        if (status == null || status == 503) lastRefusedAt = ctx.now else lastServedAt = ctx.now
+        if (status == null || status == 503) lastRefusedAt = context.now else lastServedAt = context.now
     }
 
     private fun enqueue(
@@ -372,18 +372,18 @@
             } else {
                 queues
             }
-        ).getValue(urgency).addLast(Waiting(writes, ctx.now, patienceS, send, drop, counters.getValue(urgency)))
+        ).getValue(urgency).addLast(Waiting(writes, context.now, patienceS, send, drop, counters.getValue(urgency)))
         pump()
     }
 
     fun pump() {
         val part = if (leads) LEADER_PART else (1 - LEADER_PART) / (settings.controllers - 1).coerceAtLeast(1)
-        writes.refill(ctx.now, settings.store.writeRps * part)
-        requests.refill(ctx.now, settings.store.rps * part)
+        writes.refill(context.now, settings.store.writeRps * part)
+        requests.refill(context.now, settings.store.rps * part)
         for (queue in lines) {
-            while (queue.isNotEmpty() && ctx.now - queue.first().since > queue.first().patienceS) queue.removeFirst().drop()
+            while (queue.isNotEmpty() && context.now - queue.first().since > queue.first().patienceS) queue.removeFirst().drop()
         }
-        if (ctx.now < pausedUntil) return
+        if (context.now < pausedUntil) return
         var mayWrite = true
         for (urgency in Urgency.entries) {
             // A read never waits for room to write: polls went unanswered behind a burst of submissions.
@@ -405,7 +405,7 @@
     private fun sendFirst(queue: ArrayDeque<Waiting>): Boolean {
         if (!requests.take(1.0)) return false
         val next = queue.removeFirst()
-        ctx.count(next.counter)
+        context.count(next.counter)
         next.send()
         return true
     }
--- a/src/main/kotlin/burlridge/worker/Commands.kt
+++ b/src/main/kotlin/burlridge/worker/Commands.kt
@@ -1,8 +1,8 @@
 package burlridge.worker
 
-import burlridge.app.Context
-import burlridge.app.Endpoint
-import burlridge.app.Outcome
+import burlridge.core.Context
+import burlridge.core.Endpoint
+import burlridge.core.Outcome
 import burlridge.intent.Claim
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
@@ -12,11 +12,11 @@
 
 /** Commands straight to the workers, and what becomes of them. */
 internal class Commands(
-    private val ctx: Context,
+    private val context: Context,
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val peers: Peers,
-    private val reach: Reach,
+    private val reachability: ZoneReachability,
     private val reconciler: ReportReconciler,
     private val events: Events,
 ) {
@@ -44,30 +44,38 @@
         fun changed()
     }
 
-    private val times = ctx.settings.workers
+    private val times = context.settings.workers
     private var probeAt = 0.0
 
     /** Sends what is due to [machine] straight away. */
     fun command(machine: Machine) {
         val address = machine.address ?: return
-        if (machine.commanding || ctx.now < machine.nextCommandAt || machine.lapsed) return
-        // While others may have been elected only what can never be wrong goes out: the stops of cancelled jobs.
-        if (!leadership.standing && !leadership.answering) return
+        if (!mayCommand(machine)) return
         val claims = ledger.claims.byMachine[machine.id]?.values
-        if (claims.isNullOrEmpty()) return
-        if (claims.none { it.phase <= Phase.SENT || it.stopGraceS != null || reconciler.withdrawn(it) }) return
-        val starts = if (leadership.standing) startsOf(machine).take(MOST_COMMANDS) else emptyList()
-        val stops = claims.filter { (leadership.standing || reconciler.withdrawn(it)) && wantsStop(it) }
-        val fencing = leadership.standing && machine.echoed <= machine.openToken && claims.any { it.phase == Phase.SENT }
-        if (starts.isEmpty() && stops.isEmpty() && !fencing) return
-        stops.forEach { it.stopSentAt = ctx.now }
+        if (claims.isNullOrEmpty() || claims.none { isPending(it) }) return
+        val starts = if (leadership.holdsLease) startsOf(machine).take(MOST_COMMANDS) else emptyList()
+        val stops = claims.filter { (leadership.holdsLease || reconciler.withdrawn(it)) && wantsStop(it) }
+        if (starts.isEmpty() && stops.isEmpty() && !needsFence(machine, claims)) return
+        stops.forEach { it.stopSentAt = context.now }
         starts.forEach { it.phase = Phase.SENT }
-        if (starts.isNotEmpty()) machine.runToken = machine.token
-        send(machine, address, stops.map { stop(it) } + starts.map { WorkerCommand.Start(it.piece, it.run) }, starts, stops)
+        if (starts.isNotEmpty()) machine.lastStartToken = machine.token
+        send(machine, address, stops.map { stop(it) } + starts.map { WorkerCommand.Start(it.taskName, it.run) }, starts, stops)
     }
 
+    /** While others may have been elected only what can never be wrong goes out: the stops of cancelled jobs. */
+    private fun mayCommand(machine: Machine): Boolean =
+        !machine.commanding && context.now >= machine.nextCommandAt && !machine.lapsed && (leadership.holdsLease || leadership.answering)
+
+    private fun isPending(claim: Claim): Boolean = claim.phase <= Phase.SENT || claim.stopGraceS != null || reconciler.withdrawn(claim)
+
+    /** Whether a start of unknown outcome waits for the worker to see a newer token. */
+    private fun needsFence(
+        machine: Machine,
+        claims: Collection<Claim>,
+    ): Boolean = leadership.holdsLease && machine.seenToken <= machine.unsettledToken && claims.any { it.phase == Phase.SENT }
+
     private fun stop(claim: Claim) =
-        WorkerCommand.Stop(claim.piece, claim.run, if (reconciler.withdrawn(claim)) 0.0 else claim.stopGraceS ?: 0.0)
+        WorkerCommand.Stop(claim.taskName, claim.run, if (reconciler.withdrawn(claim)) 0.0 else claim.stopGraceS ?: 0.0)
 
     private fun startsOf(machine: Machine): List<Claim> =
         if (machine.hears) {
@@ -87,7 +95,7 @@
             ledger.jobs[claim.job]?.let { it.ending != Standing.WITHDRAWN } == true
 
     private fun wantsStop(claim: Claim): Boolean {
-        if (claim.phase < Phase.SENT || claim.ended || ctx.now < claim.stopSentAt + times.reportS / 3) return false
+        if (claim.phase < Phase.SENT || claim.ended || context.now < claim.stopSentAt + times.reportS / 3) return false
         if (reconciler.withdrawn(claim)) return true
         if (claim.phase == Phase.SAVING) return false
         if (claim.stopTold && reconciler.savesAsGang(claim)) return false
@@ -102,7 +110,7 @@
         stops: List<Claim> = emptyList(),
     ) {
         machine.commanding = true
-        ctx.count("worker.commands")
+        context.count("worker.commands")
         val token = machine.token
         val session = machine.session
         val body = WorkerCommandCodec.request(token, session, commands)
@@ -118,11 +126,11 @@
                     // On 409 nothing was executed: what was to start has still to be sent.
                     if (answer.status == 409) unsend(starts) else stops.forEach { it.stopTold = true }
                     events.heard(machine, report)
-                    if (machine.echoed shr Workers.TERM_SHIFT > leadership.term) {
+                    if (machine.seenToken shr Workers.TERM_SHIFT > leadership.term) {
                         leadership.stepDown("worker ${machine.id} has seen a higher token")
                         return@deliver
                     }
-                    if (answer.status == 409) machine.nextCommandAt = ctx.now + RETRY_S
+                    if (answer.status == 409) machine.nextCommandAt = context.now + RETRY_S
                     events.changed()
                     // What was claimed while this was under way need not wait for the next sweep: a gang waits for its last task.
                     if (startsOf(machine).isNotEmpty()) command(machine)
@@ -135,17 +143,17 @@
                         // It may report and still not hear: what has not left goes elsewhere, and nothing more comes here before
                         // its worker has seen a token that only an answer of ours can have brought.
                         machine.token = events.nextToken()
-                        machine.mustEcho = machine.token
+                        machine.requiredToken = machine.token
                         events.withdrawUnsent(machine, "never sent, and its machine cannot be reached")
                     }
                 }
 
                 else -> {
                     // Possibly executed, or held back to be executed later: only a higher token seen by the worker settles it.
-                    ctx.often("commands of unknown outcome", "command to ${machine.id} has an unknown outcome; fencing it")
-                    machine.openToken = maxOf(machine.openToken, token)
+                    context.infoRateLimited("commands of unknown outcome", "command to ${machine.id} has an unknown outcome; fencing it")
+                    machine.unsettledToken = maxOf(machine.unsettledToken, token)
                     machine.token = events.nextToken()
-                    machine.mustEcho = machine.token
+                    machine.requiredToken = machine.token
                     retryLater(machine)
                 }
             }
@@ -159,16 +167,16 @@
         body: String,
         then: (Outcome) -> Unit,
     ) {
-        val via = machine.via
+        val relayedBy = machine.relayedBy
         val timeoutS = times.reportS * COMMAND_PART
         val zone = machine.zone
-        if (via == null) {
-            ctx.call(address, "POST", "/do", body, timeoutS) { outcome ->
-                reach.commanded(zone, outcome is Outcome.Answered)
+        if (relayedBy == null) {
+            context.call(address, "POST", "/do", body, timeoutS) { outcome ->
+                reachability.commanded(zone, outcome is Outcome.Answered)
                 then(outcome)
             }
         } else {
-            peers.ask(via, "POST", Relay.COMMAND + address, body, timeoutS * 2) { answer ->
+            peers.ask(relayedBy, "POST", Relay.COMMAND + address, body, timeoutS * 2) { answer ->
                 then(
                     when {
                         answer == null -> Outcome.Unknown
@@ -185,27 +193,27 @@
     fun ask(machine: Machine) {
         val address = machine.address ?: return
         val wanted = machine.up || !ledger.claims.byMachine[machine.id].isNullOrEmpty()
-        if (!wanted || machine.commanding || machine.leaving || ctx.now < machine.nextCommandAt || !leadership.standing) return
-        if (ctx.now > machine.silentSince + times.reportS * OVERDUE_REPORTS) send(machine, address, emptyList(), emptyList())
+        if (!wanted || machine.commanding || machine.draining || context.now < machine.nextCommandAt || !leadership.holdsLease) return
+        if (context.now > machine.silentSince + times.reportS * OVERDUE_REPORTS) send(machine, address, emptyList(), emptyList())
     }
 
     /** Now and then one machine of a zone that is cut off is tried, with nothing to do for it. */
     fun probe(machines: Collection<Machine>) {
-        if (ctx.now < probeAt) return
-        probeAt = ctx.now + PROBE_S
-        for (zone in reach.left()) {
+        if (context.now < probeAt) return
+        probeAt = context.now + PROBE_S
+        for (zone in reachability.left()) {
             val there =
                 machines.filter {
-                    it.zone == zone && it.up && !it.lapsed && it.via == null && it.address != null && !it.commanding && !it.leaving
+                    it.zone == zone && it.up && !it.lapsed && it.relayedBy == null && it.address != null && !it.commanding && !it.draining
                 }
-            val machine = there.randomOrNull(ctx.random) ?: continue
+            val machine = there.randomOrNull(context.random) ?: continue
             send(machine, machine.address ?: continue, emptyList(), emptyList())
         }
     }
 
     private fun retryLater(machine: Machine) {
         machine.refusals++
-        machine.nextCommandAt = ctx.now + RETRY_S * minOf(machine.refusals, 8)
+        machine.nextCommandAt = context.now + RETRY_S * minOf(machine.refusals, 8)
     }
 
     private fun unsend(starts: List<Claim>) {
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -1,6 +1,6 @@
 package burlridge.worker
 
-import burlridge.app.Endpoint
+import burlridge.core.Endpoint
 
 /** A machine as the leader knows it, from its worker's reports and from the cloud's list. */
 internal class Machine(
@@ -21,9 +21,9 @@
     var address: Endpoint? = null
     var session: Long = 0
     var tally: Long = -1
-    var echoed: Long = 0
+    var seenToken: Long = 0
     var reported: Map<String, ReportedTask> = emptyMap()
-    var strays: Set<String> = emptySet()
+    var orphans: Set<String> = emptySet()
     var lastReportAt: Double = -1e9
     var recallAt: Double? = null
 
@@ -34,29 +34,29 @@
     var lastReport: LastReport? = null
 
     /** When it last reported by itself; answers to commands renew no lease. */
-    var beatAt: Double = -1e9
+    var heartbeatAt: Double = -1e9
 
     // Ours.
     var token: Long = 0
 
     /** The highest token under which a command of open outcome may still be on its way. */
-    var openToken: Long = 0
+    var unsettledToken: Long = 0
 
     /** The token that its worker must have seen before anything more is placed on it: only that shows that it hears us. */
-    var mustEcho: Long = 0
+    var requiredToken: Long = 0
 
-    /** Since when it has reported without having seen [mustEcho]; null while it hears. */
+    /** Since when it has reported without having seen [requiredToken]; null while it hears. */
     var deafSince: Double? = null
 
     /** The highest token under which a start was sent to it. */
-    var runToken: Long = 0
+    var lastStartToken: Long = 0
     var commanding: Boolean = false
     var nextCommandAt: Double = 0.0
     var refusals: Int = 0
     var notBefore: Double = 0.0
     var idleSince: Double = 0.0
     var failures: Int = 0
-    var leaving: Boolean = false
+    var draining: Boolean = false
 
     /** Given up for dead: it goes back whatever was on it, and the cloud's answer makes that certain. */
     var dead: Boolean = false
@@ -64,7 +64,7 @@
     var lapsed: Boolean = false
 
     /** The member through which its last report came, where it cannot reach the leader itself; commands go the same way. */
-    var via: String? = null
+    var relayedBy: String? = null
 
     /** Images it should still hold, with their size, the most recently used last. */
     val images: LinkedHashMap<String, Double> = LinkedHashMap()
@@ -74,7 +74,7 @@
 
     val up: Boolean get() = session > 0
 
-    val hears: Boolean get() = echoed >= mustEcho
+    val hears: Boolean get() = seenToken >= requiredToken
 
     /** Takes over what [report] says of the machine itself and of its tasks; its order among reports is the caller's to judge. */
     fun update(
--- a/src/main/kotlin/burlridge/worker/Leaving.kt
+++ b/src/main/kotlin/burlridge/worker/MachineDrain.kt
@@ -1,14 +1,14 @@
 package burlridge.worker
 
-import burlridge.app.Context
+import burlridge.core.Context
 import burlridge.intent.Gangs
 import burlridge.intent.Job
 import burlridge.intent.Ledger
 import burlridge.intent.Phase
 
 /** Tasks are taken off machines that are slow or that the cloud takes back. */
-internal class Leaving(
-    private val ctx: Context,
+internal class MachineDrain(
+    private val context: Context,
     private val ledger: Ledger,
     private val workers: Workers,
 ) {
@@ -20,16 +20,16 @@
      * sooner than it would end. Not where many seem slow at once: then it is our measure that is wrong.
      */
     fun leaveSlow(machines: Collection<Machine>) {
-        if (ctx.now < slowAt) return
-        slowAt = ctx.now + ctx.settings.workers.reportS / 2
-        val up = machines.filter { it.up && !it.lapsed && !it.leaving && !workers.silent(it) }
+        if (context.now < slowAt) return
+        slowAt = context.now + context.settings.workers.reportS / 2
+        val up = machines.filter { it.up && !it.lapsed && !it.draining && !workers.silent(it) }
         val slow = up.filter { slowness.isSlow(it) }
         if (slow.size > up.size * MOST_SLOW) return
         for (machine in slow) {
-            ctx.info(
+            context.info(
                 "machine ${machine.id} is slow: its tasks take over ${Slowness.SLOW} times as long as others of their jobs; leaving it",
             )
-            machine.leaving = true
+            machine.draining = true
             slowness.running(machine).forEach { claim ->
                 val job = ledger.jobs[claim.job] ?: return@forEach
                 val spec = job.spec
@@ -55,7 +55,7 @@
             }
             if (claim.phase == Phase.RUNNING && spec.checkpointS > 0 && claim.stopGraceS == null) {
                 claim.stopGraceS = spec.saveS * Gangs.GRACE
-                ctx.info("task ${claim.piece} is stopped on ${machine.id}: the cloud takes the machine back")
+                context.info("task ${claim.taskName} is stopped on ${machine.id}: the cloud takes the machine back")
             }
         }
         gangs.forEach { stopGang(it, "the cloud takes ${machine.id} back", mustSave = true) }
@@ -80,7 +80,7 @@
             if (mustSave && job.spec.checkpointS <= 0) return
             if (!on.all { it.up && it.hears && !it.lapsed && it.refusals == 0 && !workers.silent(it) && workers.reaches(it) }) return
         }
-        ctx.info("gang ${job.spec.id} run ${job.highestRun} is stopped: $reason")
+        context.info("gang ${job.spec.id} run ${job.highestRun} is stopped: $reason")
         Gangs.stop(job).filter { it.phase == Phase.CLAIMED }.forEach { workers.lose(it, reason) }
         on.forEach { workers.command(it) }
     }
--- a/src/main/kotlin/burlridge/worker/Relay.kt
+++ b/src/main/kotlin/burlridge/worker/Relay.kt
@@ -1,10 +1,10 @@
 package burlridge.worker
 
-import burlridge.app.Answer
-import burlridge.app.Context
-import burlridge.app.Endpoint
-import burlridge.app.Json
-import burlridge.app.Outcome
+import burlridge.core.Answer
+import burlridge.core.Context
+import burlridge.core.Endpoint
+import burlridge.core.Json
+import burlridge.core.Outcome
 import burlridge.peer.Peers
 
 /**
@@ -13,7 +13,7 @@
  * peer link, and the leader's answers, token and all, back to it.
  */
 internal class Relay(
-    private val ctx: Context,
+    private val context: Context,
     private val peers: Peers,
 ) {
     private class Seen(
@@ -22,10 +22,10 @@
         var relayedSince: Double? = null,
     )
 
-    private val times = ctx.settings.workers
+    private val times = context.settings.workers
     private val seen = HashMap<String, Seen>()
 
-    fun beat(
+    fun heartbeat(
         body: String,
         leader: String?,
         then: (Answer) -> Unit,
@@ -34,13 +34,13 @@
         val report = WorkerReport.decode(body) ?: return then(Answer.error(400, "not a report"))
         val worker = report.machine
         val known = seen[worker]?.takeIf { it.leader == leader }
-        val stuck = known != null && (relaying(known) || ctx.now < known.sentAwayAt + times.leaseS / 2)
+        val stuck = known != null && (relaying(known) || context.now < known.sentAwayAt + times.leaseS / 2)
         // Where the leader itself says that it hears nobody there, no worker need find that out; but one that has been relayed
         // for a lease tries the way once.
         val apart = known?.relayedSince == null && peers.unheard(leader, report.zone.orEmpty())
-        val before = if (known != null && stuck) known else Seen(leader, ctx.now).also { seen[worker] = it }
+        val before = if (known != null && stuck) known else Seen(leader, context.now).also { seen[worker] = it }
         if (!stuck && !apart) return then(redirect(leader))
-        before.relayedSince = before.relayedSince ?: ctx.now
+        before.relayedSince = before.relayedSince ?: context.now
         peers.ask(leader, "POST", "/agent/beat", body, times.reportS / 2) { answer -> then(answer ?: redirect(leader)) }
     }
 
@@ -51,7 +51,7 @@
         then: (Answer) -> Unit,
     ) {
         val address = Endpoint.parseOrNull(to) ?: return then(Answer(NOT_SENT, ""))
-        ctx.call(address, "POST", "/do", body, times.reportS / 2) { outcome ->
+        context.call(address, "POST", "/do", body, times.reportS / 2) { outcome ->
             then(
                 when (outcome) {
                     is Outcome.Answered -> Answer(outcome.status, outcome.body)
@@ -63,7 +63,7 @@
     }
 
     /** After a lease's time a relayed worker is sent to the leader again, to see whether the way is free. */
-    private fun relaying(before: Seen): Boolean = before.relayedSince?.let { ctx.now < it + times.leaseS } ?: false
+    private fun relaying(before: Seen): Boolean = before.relayedSince?.let { context.now < it + times.leaseS } ?: false
 
     private fun redirect(leader: String?) = Answer(421, Json.write(Json.obj { leader?.let { put("herder", it) } }))
 
--- a/src/main/kotlin/burlridge/worker/ReportReconciler.kt
+++ b/src/main/kotlin/burlridge/worker/ReportReconciler.kt
@@ -34,7 +34,7 @@
 
     /** Removals of ended tasks whose end is durable, and of which no start can still be on its way. */
     fun removals(machine: Machine): List<WorkerCommand> {
-        if (machine.commanding || machine.echoed <= machine.openToken) return emptyList()
+        if (machine.commanding || machine.seenToken <= machine.unsettledToken) return emptyList()
         return machine.reported.values.mapNotNull { if (it.exited) removal(machine, it) else null }
     }
 
@@ -54,8 +54,8 @@
         // A repeat of the start may still come, and after the removal it would count as new. One that is done ends at once
         // again; any other must first be void, for it may run elsewhere by then, or be cancelled.
         val harmless = done && (job != null || ledger.end(jobId)?.standing == Standing.DONE)
-        if (!harmless && machine.echoed <= machine.runToken) {
-            if (machine.token <= machine.runToken) machine.token = nextToken()
+        if (!harmless && machine.seenToken <= machine.lastStartToken) {
+            if (machine.token <= machine.lastStartToken) machine.token = nextToken()
             return null
         }
         return WorkerCommand.Remove(report.task, report.attempt)
--- a/src/main/kotlin/burlridge/worker/WorkerReport.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerReport.kt
@@ -1,13 +1,13 @@
 package burlridge.worker
 
-import burlridge.app.Endpoint
-import burlridge.app.JsonStream
-import burlridge.app.eachField
-import burlridge.app.eachObject
-import burlridge.app.flagOrNull
-import burlridge.app.numberOrNull
-import burlridge.app.textOrNull
-import burlridge.app.wholeOrNull
+import burlridge.core.Endpoint
+import burlridge.core.JsonStream
+import burlridge.core.eachField
+import burlridge.core.eachObject
+import burlridge.core.flagOrNull
+import burlridge.core.numberOrNull
+import burlridge.core.textOrNull
+import burlridge.core.wholeOrNull
 import com.fasterxml.jackson.core.JsonParser
 
 /** A task as a worker reports it. */
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -1,7 +1,7 @@
 package burlridge.worker
 
-import burlridge.app.Answer
-import burlridge.app.Context
+import burlridge.core.Answer
+import burlridge.core.Context
 import burlridge.intake.JobSpec
 import burlridge.intent.Claim
 import burlridge.intent.Job
@@ -13,7 +13,7 @@
 
 /** Reports in, commands out; says when a claimed task is known to be gone from its machine. */
 internal class Workers(
-    private val ctx: Context,
+    private val context: Context,
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val peers: Peers,
@@ -22,23 +22,23 @@
     /** What a type of machine caches; set once the types are known. */
     var cacheOf: (String) -> Double = { 0.0 }
 
-    private val times = ctx.settings.workers
+    private val times = context.settings.workers
     val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
     private var tokens = 0L
     var loaded: Boolean = false
-    private val reach = Reach(ctx)
+    private val reachability = ZoneReachability(context)
     private val reconciler = ReportReconciler(ledger) { nextToken() }
-    private val commands = Commands(ctx, leadership, ledger, peers, reach, reconciler, this)
-    private val leaving = Leaving(ctx, ledger, this)
+    private val commands = Commands(context, leadership, ledger, peers, reachability, reconciler, this)
+    private val draining = MachineDrain(context, ledger, this)
 
-    fun reaches(machine: Machine): Boolean = machine.via != null || !reach.isLeft(machine.zone)
+    fun reaches(machine: Machine): Boolean = machine.relayedBy != null || !reachability.isLeft(machine.zone)
 
-    fun hears(zone: String): Boolean = reach.hears(zone)
+    fun hears(zone: String): Boolean = reachability.hears(zone)
 
-    fun unheardZones(): List<String> = reach.unheard(machines.values)
+    fun unheardZones(): List<String> = reachability.unheard(machines.values)
 
     /** How many machines run each task without a claim of ours; until it is halted such a task blocks any other start of it. */
-    private val strayCount = Object2IntOpenHashMap<String>()
+    private val orphanCount = Object2IntOpenHashMap<String>()
     private var sweepAt = 0.0
 
     /** Returned machines: their workers are gone, and a late report must not bring them back. */
@@ -47,62 +47,62 @@
     fun clear() {
         machines.clear()
         returned.clear()
-        strayCount.clear()
-        reach.clear()
+        orphanCount.clear()
+        reachability.clear()
         loaded = false
         tokens = 0
     }
 
     fun isReturned(id: String): Boolean = id in returned
 
-    fun strays(piece: String): Boolean = strayCount.getInt(piece) > 0
+    fun orphans(taskName: String): Boolean = orphanCount.getInt(taskName) > 0
 
     /** Whether any task of [job] runs somewhere without a claim of ours. */
-    fun hasStrays(job: String): Boolean = strayCount.keys.any { it.substringBefore('/') == job }
+    fun hasOrphans(job: String): Boolean = orphanCount.keys.any { it.substringBefore('/') == job }
 
-    private fun setStrays(
+    private fun setOrphans(
         machine: Machine,
-        strays: Set<String>,
+        orphans: Set<String>,
     ) {
-        if (machine.strays.isEmpty() && strays.isEmpty()) return
-        machine.strays.forEach { if (strayCount.addTo(it, -1) <= 1) strayCount.removeInt(it) }
-        strays.forEach { strayCount.addTo(it, 1) }
-        machine.strays = strays
+        if (machine.orphans.isEmpty() && orphans.isEmpty()) return
+        machine.orphans.forEach { if (orphanCount.addTo(it, -1) <= 1) orphanCount.removeInt(it) }
+        orphans.forEach { orphanCount.addTo(it, 1) }
+        machine.orphans = orphans
     }
 
     override fun nextToken(): Long = (leadership.term shl TERM_SHIFT) + ++tokens
 
     fun machine(id: String): Machine =
         machines.getOrPut(id) {
-            Machine(id, ctx.now).also {
+            Machine(id, context.now).also {
                 it.token = leadership.term shl TERM_SHIFT
-                it.openToken = it.token - 1
+                it.unsettledToken = it.token - 1
                 // A report alone may be a late copy, of a machine long gone: it must have heard of our term.
-                it.mustEcho = it.token
-                it.answeredAt = ctx.now
-                it.idleSince = ctx.now
+                it.requiredToken = it.token
+                it.answeredAt = context.now
+                it.idleSince = context.now
             }
         }
 
     // --- reports
 
-    /** A report, come straight from its worker or passed on by [via]. */
-    fun beat(
+    /** A report, come straight from its worker or passed on by [relayedBy]. */
+    fun heartbeat(
         body: String,
-        via: String?,
+        relayedBy: String?,
     ): Answer {
-        ctx.count("worker.reports")
+        context.count("worker.reports")
         val known = LastReport.nameIn(body)?.let { machines[it] }
         val again = known?.lastReport?.numberOf(body)
-        if (known != null && again != null) return answer(known, via, takeAgain(known, again))
-        ctx.count("worker.reports_read")
+        if (known != null && again != null) return answer(known, relayedBy, takeAgain(known, again))
+        context.count("worker.reports_read")
         val report = WorkerReport.decode(body) ?: return Answer.error(400, "not a report")
         val id = report.machine
         if (id in returned) return Answer.unavailable("this machine has been returned")
         val machine = machine(id)
         val fresh = take(machine, report)
         if (fresh) machine.lastReport = LastReport.of(body, machine.tally)
-        return answer(machine, via, fresh)
+        return answer(machine, relayedBy, fresh)
     }
 
     /** What [machine] said last it says again, under a later [number]: only the time of it is news. */
@@ -112,28 +112,28 @@
     ): Boolean {
         if (number <= machine.tally) return false
         machine.tally = number
-        machine.lastReportAt = ctx.now
-        machine.deafSince = if (machine.hears) null else machine.deafSince ?: ctx.now
+        machine.lastReportAt = context.now
+        machine.deafSince = if (machine.hears) null else machine.deafSince ?: context.now
         return true
     }
 
     private fun answer(
         machine: Machine,
-        via: String?,
+        relayedBy: String?,
         fresh: Boolean,
     ): Answer {
         if (fresh) {
-            machine.via = via
-            if (via == null) reach.heard(machine.zone)
+            machine.relayedBy = relayedBy
+            if (relayedBy == null) reachability.heard(machine.zone)
         }
-        if (machine.echoed shr TERM_SHIFT > leadership.term) {
+        if (machine.seenToken shr TERM_SHIFT > leadership.term) {
             leadership.stepDown("worker ${machine.id} has seen a higher token")
             return Answer.unavailable("not the leader")
         }
         // A report overtaken by a command's answer still renews the worker's lease when it is answered.
-        machine.answeredAt = ctx.now
+        machine.answeredAt = context.now
         if (fresh) {
-            machine.beatAt = ctx.now
+            machine.heartbeatAt = context.now
             machine.lapsed = false
         }
         val due = if (fresh && loaded) reconcileAndAnswer(machine) else emptyList()
@@ -160,20 +160,20 @@
             // Its lease began with the session, at the latest now. Only a new session ends the lapse of the one before: an answer to a
             // command renews no lease, and what started after it would be taken for gone while it runs.
             machine.lapsed = false
-            machine.answeredAt = maxOf(machine.answeredAt, ctx.now)
+            machine.answeredAt = maxOf(machine.answeredAt, context.now)
         }
         machine.session = session
         machine.tally = tally
         val fencedBefore = fenced(machine)
-        machine.echoed = maxOf(machine.echoed, report.token)
+        machine.seenToken = maxOf(machine.seenToken, report.token)
         // Until it has seen our term an earlier leader's answer may have renewed its lease.
-        if (!fencedBefore) machine.answeredAt = maxOf(machine.answeredAt, ctx.now)
-        machine.lastReportAt = ctx.now
-        machine.deafSince = if (machine.hears) null else machine.deafSince ?: ctx.now
+        if (!fencedBefore) machine.answeredAt = maxOf(machine.answeredAt, context.now)
+        machine.lastReportAt = context.now
+        machine.deafSince = if (machine.hears) null else machine.deafSince ?: context.now
         val recalled = machine.recallAt
-        machine.update(report, ctx.now)
+        machine.update(report, context.now)
         if (recalled == null && machine.recallAt != null) {
-            ctx.info("machine ${machine.id}: the cloud takes it back in ${report.noticeS} s")
+            context.info("machine ${machine.id}: the cloud takes it back in ${report.noticeS} s")
         }
         return true
     }
@@ -189,14 +189,14 @@
                 lose(claim, "its worker's session is over")
                 continue
             }
-            val report = machine.reported[taskKey(claim.piece, claim.run)]
+            val report = machine.reported[taskKey(claim.taskName, claim.run)]
             when {
                 report == null -> if (knownAbsent(machine, claim)) lose(claim, "its worker does not have it")
                 report.exited -> exited(machine, claim, report)
                 else -> seen(machine, claim, report)
             }
         }
-        setStrays(
+        setOrphans(
             machine,
             machine.reported.values
                 .filter {
@@ -206,7 +206,7 @@
                 }.mapTo(HashSet()) { it.task },
         )
         if (machine.idleSince > 0 && !ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = 0.0
-        if (machine.idleSince == 0.0 && ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = ctx.now
+        if (machine.idleSince == 0.0 && ledger.claims.byMachine[machine.id].isNullOrEmpty()) machine.idleSince = context.now
     }
 
     /**
@@ -219,7 +219,7 @@
     ): Boolean =
         when (claim.phase) {
             Phase.CLAIMING, Phase.CLAIMED, Phase.ENDED -> false
-            else -> !machine.commanding && machine.echoed > machine.openToken
+            else -> !machine.commanding && machine.seenToken > machine.unsettledToken
         }
 
     private fun seen(
@@ -248,20 +248,20 @@
 
                 // A state of a later day: the machine has the task, and that is all that is known.
                 else -> {
-                    ctx.count("worker.unknown_words")
-                    ctx.often(
+                    context.count("worker.unknown_words")
+                    context.infoRateLimited(
                         "states not known",
-                        "machine ${machine.id} reports ${claim.piece} in a state that is not known: ${report.state.take(WORD)}",
+                        "machine ${machine.id} reports ${claim.taskName} in a state that is not known: ${report.state.take(WORD)}",
                     )
                     maxOf(before, Phase.FETCHING)
                 }
             }
         if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) {
-            claim.startedAt = ctx.now
+            claim.startedAt = context.now
             val job = ledger.jobs[claim.job]
             if (claim.task == 0 && job?.spec?.gang == true) {
-                ctx.debug(
-                    "gang ${job.spec.id} run ${claim.run} is seen to run ${(ctx.wallMs - job.submittedMs) / 1000.0} s after its submission",
+                context.debug(
+                    "gang ${job.spec.id} run ${claim.run} is seen to run ${(context.wallMs - job.submittedMs) / 1000.0} s after its submission",
                 )
             }
         }
@@ -290,7 +290,7 @@
             "done" -> {
                 machine.failures = 0
                 claim.startedAt?.let {
-                    job.ranS += ctx.now - it
+                    job.ranS += context.now - it
                     job.ran++
                 }
                 remember(machine, job.spec)
@@ -298,34 +298,37 @@
             }
 
             "stopped" -> {
-                ctx.often("tasks stopped", "task ${claim.piece} stopped on ${machine.id}, saved: ${report.saved}")
+                context.infoRateLimited("tasks stopped", "task ${claim.taskName} stopped on ${machine.id}, saved: ${report.saved}")
             }
 
             "error" -> {
                 job.failures++
                 machine.failures++
-                ctx.info(
-                    "task ${claim.piece} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
+                context.info(
+                    "task ${claim.taskName} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
                 )
-                job.holdOff(claim.task, ctx.now + minOf(times.reportS * job.failures, times.leaseS))
+                job.holdOff(claim.task, context.now + minOf(times.reportS * job.failures, times.leaseS))
                 if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
-                    machine.notBefore = ctx.now + times.leaseS
+                    machine.notBefore = context.now + times.leaseS
                 }
             }
 
             // No fault of the machine or of the job: another task of the gang was gone, or late.
             "peers", "incomplete" -> {
-                ctx.often(
+                context.infoRateLimited(
                     "gang tasks ended without their gang",
-                    "task ${claim.piece} run ${claim.run} ended on ${machine.id} without its gang: ${report.exitReason}",
+                    "task ${claim.taskName} run ${claim.run} ended on ${machine.id} without its gang: ${report.exitReason}",
                 )
             }
 
             else -> {
-                if (report.exitReason !in REFUSALS) ctx.count("worker.unknown_words")
-                ctx.often("starts refused", "start of ${claim.piece} refused by ${machine.id}: ${report.exitReason?.take(WORD)}")
-                job.holdOff(claim.task, ctx.now + times.reportS / 3)
-                if (report.exitReason == "full") machine.notBefore = ctx.now + times.reportS / 3
+                if (report.exitReason !in REFUSALS) context.count("worker.unknown_words")
+                context.infoRateLimited(
+                    "starts refused",
+                    "start of ${claim.taskName} refused by ${machine.id}: ${report.exitReason?.take(WORD)}",
+                )
+                job.holdOff(claim.task, context.now + times.reportS / 3)
+                if (report.exitReason == "full") machine.notBefore = context.now + times.reportS / 3
             }
         }
     }
@@ -339,7 +342,7 @@
                 claim.job,
             )
         ) {
-            ctx.often("tasks lost: $reason", "task ${claim.piece} run ${claim.run} lost on ${claim.machine}: $reason")
+            context.infoRateLimited("tasks lost: $reason", "task ${claim.taskName} run ${claim.run} lost on ${claim.machine}: $reason")
         }
         ledger.claims.release(claim, lost = true)
         onChange()
@@ -385,15 +388,15 @@
     // --- losses
 
     fun tick() {
-        if (ctx.now < sweepAt) return
-        sweepAt = ctx.now + times.reportS / SWEEPS_A_REPORT
+        if (context.now < sweepAt) return
+        sweepAt = context.now + times.reportS / SWEEPS_A_REPORT
         commands.probe(machines.values)
-        if (loaded) leaving.leaveSlow(machines.values)
+        if (loaded) draining.leaveSlow(machines.values)
         for (machine in machines.values.toList()) {
-            if (!machine.lapsed && ctx.now > lapsesAt(machine)) lapse(machine)
+            if (!machine.lapsed && context.now > lapsesAt(machine)) lapse(machine)
             if (loaded && (silent(machine) || mute(machine))) withdrawUnsent(machine, "never sent, and its machine is silent")
             if (loaded && !machine.hears) withdrawUnsent(machine, "never sent, and its machine does not hear")
-            if (machine.recallAt != null) leaving.drain(machine)
+            if (machine.recallAt != null) draining.drain(machine)
             command(machine)
             if (loaded && !machine.lapsed) commands.ask(machine)
         }
@@ -412,12 +415,12 @@
             ?.forEach { lose(it, reason) }
     }
 
-    fun silent(machine: Machine): Boolean = ctx.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
+    fun silent(machine: Machine): Boolean = context.now > machine.lastReportAt + times.reportS * SILENT_REPORTS
 
     /** It answers commands and reaches no controller: its lease runs out with all that would be placed on it. */
-    fun mute(machine: Machine): Boolean = ctx.now > maxOf(machine.beatAt, machine.knownSince) + times.leaseS / 2
+    fun mute(machine: Machine): Boolean = context.now > maxOf(machine.heartbeatAt, machine.knownSince) + times.leaseS / 2
 
-    private fun fenced(machine: Machine): Boolean = machine.echoed shr TERM_SHIFT == leadership.term
+    private fun fenced(machine: Machine): Boolean = machine.seenToken shr TERM_SHIFT == leadership.term
 
     private fun lapsesAt(machine: Machine): Double {
         val answered = if (fenced(machine)) machine.answeredAt else maxOf(machine.answeredAt, leadership.othersAnswerUntil)
@@ -427,7 +430,7 @@
     private fun lapse(machine: Machine) {
         if (!loaded) return
         machine.lapsed = true
-        setStrays(machine, emptySet())
+        setOrphans(machine, emptySet())
         loseAll(machine, "its worker's lease has lapsed")
     }
 
@@ -436,10 +439,10 @@
         machine: Machine,
         reason: String,
     ) {
-        ctx.often("machines gone: $reason", "machine ${machine.id} is gone: $reason")
+        context.infoRateLimited("machines gone: $reason", "machine ${machine.id} is gone: $reason")
         returned += machine.id
         machines.remove(machine.id)
-        setStrays(machine, emptySet())
+        setOrphans(machine, emptySet())
         loseAll(machine, reason)
         ledger.claims.byMachine.remove(machine.id)
     }
--- a/src/main/kotlin/burlridge/worker/Reach.kt
+++ b/src/main/kotlin/burlridge/worker/ZoneReachability.kt
@@ -1,14 +1,14 @@
 package burlridge.worker
 
-import burlridge.app.Context
+import burlridge.core.Context
 import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
 
 /** Which zones this leader reaches with commands, and from which it hears reports that come straight to it. */
-internal class Reach(
-    private val ctx: Context,
+internal class ZoneReachability(
+    private val context: Context,
 ) {
-    private val reportS = ctx.settings.workers.reportS
+    private val reportS = context.settings.workers.reportS
 
     /** Commands in a row that reached nobody in a zone: it is then cut off from us, and only what comes by another way is used. */
     private val unreached = Object2IntOpenHashMap<String>()
@@ -22,7 +22,7 @@
     }
 
     fun heard(zone: String) {
-        directAt.put(zone, ctx.now)
+        directAt.put(zone, context.now)
     }
 
     fun commanded(
@@ -38,15 +38,15 @@
     fun left(): List<String> = unreached.keys.filter { unreached.getInt(it) >= UNREACHED_TO_LEAVE }
 
     /** Whether reports come straight from [zone]: then what cannot be reached there is cut off or dead by itself. */
-    fun hears(zone: String): Boolean = ctx.now < directAt.getDouble(zone) + reportS / 2
+    fun hears(zone: String): Boolean = context.now < directAt.getDouble(zone) + reportS / 2
 
     /** Zones with machines that have reported to this leader, of which none has lately come straight to it. */
     fun unheard(machines: Collection<Machine>): List<String> {
         val up = Object2IntOpenHashMap<String>()
-        machines.forEach { if (it.up && !it.lapsed && !it.leaving) up.addTo(it.zone, 1) }
+        machines.forEach { if (it.up && !it.lapsed && !it.draining) up.addTo(it.zone, 1) }
         return up.keys.filter { zone ->
             val quietS = reportS * if (up.getInt(zone) >= MANY) QUIET_OF_MANY else QUIET_OF_FEW
-            ctx.now > directAt.getDouble(zone) + quietS
+            context.now > directAt.getDouble(zone) + quietS
         }
     }
 
--- a/src/test/kotlin/burlridge/app/SettingsTest.kt
+++ b/src/test/kotlin/burlridge/core/SettingsTest.kt
@@ -1,5 +1,6 @@
-package burlridge.app
+package burlridge.core
 
+import burlridge.app.Rehearsal
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
--- a/src/test/kotlin/burlridge/fleet/MachineListTest.kt
+++ b/src/test/kotlin/burlridge/fleet/MachineListTest.kt
@@ -1,6 +1,6 @@
 package burlridge.fleet
 
-import burlridge.app.Endpoint
+import burlridge.core.Endpoint
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
--- a/src/test/kotlin/burlridge/intake/JobSpecTest.kt
+++ b/src/test/kotlin/burlridge/intake/JobSpecTest.kt
@@ -1,6 +1,6 @@
 package burlridge.intake
 
-import burlridge.app.Json
+import burlridge.core.Json
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertThrows
--- a/src/test/kotlin/burlridge/intent/LedgerTest.kt
+++ b/src/test/kotlin/burlridge/intent/LedgerTest.kt
@@ -1,9 +1,9 @@
 package burlridge.intent
 
-import burlridge.app.Context
-import burlridge.app.Json
 import burlridge.app.Rehearsal
-import burlridge.app.Settings
+import burlridge.core.Context
+import burlridge.core.Json
+import burlridge.core.Settings
 import burlridge.leadership.Leadership
 import burlridge.store.Row
 import burlridge.store.Store
@@ -12,15 +12,15 @@
 
 /** What a new leader makes of the rows that it finds. */
 internal class LedgerTest {
-    private val ctx = Context(Settings.parse(Rehearsal.settings()), 1)
-    private val store = Store(ctx)
+    private val context = Context(Settings.parse(Rehearsal.settings()), 1)
+    private val store = Store(context)
     private val nobody =
         object : Leadership.Events {
             override fun onElected() = Unit
 
             override fun onDeposed() = Unit
         }
-    private val ledger = Ledger(ctx, store, Leadership(ctx, store, nobody))
+    private val ledger = Ledger(context, store, Leadership(context, store, nobody))
 
     private fun live(
         job: String,
--- a/src/test/kotlin/burlridge/intent/LimitsTest.kt
+++ b/src/test/kotlin/burlridge/intent/LimitsTest.kt
@@ -1,13 +1,14 @@
 package burlridge.intent
 
-import burlridge.app.Context
-import burlridge.app.Effect
-import burlridge.app.Input
-import burlridge.app.Json
-import burlridge.app.Level
-import burlridge.app.Outcome
 import burlridge.app.Rehearsal
-import burlridge.app.Settings
+import burlridge.core.Context
+import burlridge.core.Effect
+import burlridge.core.Input
+import burlridge.core.Json
+import burlridge.core.Level
+import burlridge.core.Outcome
+import burlridge.core.Settings
+import burlridge.intake.JobSpec
 import burlridge.leadership.Leadership
 import burlridge.sim.Clock
 import burlridge.sim.StateService
@@ -22,21 +23,21 @@
 /** The largest transaction of each kind, against a state service that has lowered its limits. */
 internal class LimitsTest {
     private val clock = Clock()
-    private val state = StateService(clock).also { it.lower(valueKb = 2.0, txnOps = 4) }
+    private val state = StateService(clock).also { it.lower(valueKb = 2.0, changesPerTransaction = 4) }
     private val settings =
         Settings.parse(
             Rehearsal.settings().replace("\"txn_ops\":8", "\"txn_ops\":8,\"next\":{\"value_kb\":2,\"txn_ops\":4,\"write_rps\":18}"),
         )
-    private val ctx = Context(settings, 1)
-    private val store = Store(ctx)
+    private val context = Context(settings, 1)
+    private val store = Store(context)
     private val nobody =
         object : Leadership.Events {
             override fun onElected() = Unit
 
             override fun onDeposed() = Unit
         }
-    private val leadership = Leadership(ctx, store, nobody)
-    private val ledger = Ledger(ctx, store, leadership)
+    private val leadership = Leadership(context, store, nobody)
+    private val ledger = Ledger(context, store, leadership)
 
     private val errors = ArrayList<String>()
 
@@ -44,25 +45,25 @@
     private fun pass(seconds: Double) {
         repeat((seconds * 10).toInt()) {
             clock.runUntil(clock.now + 0.1)
-            ctx.begin(clock.now, (clock.now * 1000).toLong())
+            context.begin(clock.now, (clock.now * 1000).toLong())
             leadership.tick()
             if (leadership.leading) ledger.tick()
-            ctx.runDue()
+            context.runDue()
             store.pump()
             answer()
         }
     }
 
     private fun answer() {
-        val calls = ArrayDeque(ctx.finish())
+        val calls = ArrayDeque(context.finish())
         while (calls.isNotEmpty()) {
             val effect = calls.removeFirst()
             if (effect is Effect.Log && effect.level == Level.ERROR) errors += effect.text
             val call = effect as? Effect.Call ?: continue
             state.handle(call.method, call.path, call.body.orEmpty()) { status, body ->
-                ctx.called(Input.CallDone(call.call, Outcome.Answered(status, body)))
+                context.called(Input.CallDone(call.call, Outcome.Answered(status, body)))
             }
-            calls += ctx.finish()
+            calls += context.finish()
         }
     }
 
@@ -97,9 +98,9 @@
         val bits = Base64.getEncoder().encodeToString(BitSet().apply { set(0, Progress.CHUNK) }.toByteArray())
         repeat(2) { chunk ->
             // Written before the limits were lowered.
-            state.lower(valueKb = 8.0, txnOps = 8)
+            state.lower(valueKb = 8.0, changesPerTransaction = 8)
             put("prog/j-1/$chunk", """{"bits":"$bits"}""")
-            state.lower(valueKb = 2.0, txnOps = 4)
+            state.lower(valueKb = 2.0, changesPerTransaction = 4)
             ledger.loadProgress(Row("prog/j-1/$chunk", Json.parse("""{"bits":"$bits"}"""), 1))
         }
         assertEquals(2 * Progress.CHUNK, job.durable.cardinality())
@@ -134,9 +135,9 @@
         val job = admit("j-1", 200)
         val starts = (0 until 150).joinToString { "[$it,1,\"m-00000$it\",1,0,0]" }
         val value = """{"st":"claimed","n":"1-0","tok":1,"until":0,"zones":["a"],"jobs":{"j-1":["crew",0.1,0.0,0.0,[$starts]]}}"""
-        state.lower(valueKb = 8.0, txnOps = 8)
+        state.lower(valueKb = 8.0, changesPerTransaction = 8)
         put("round/1-0", value)
-        state.lower(valueKb = 2.0, txnOps = 4)
+        state.lower(valueKb = 2.0, changesPerTransaction = 4)
         ledger.claims.loadRound(Row("round/1-0", Json.parse(value), stampOf("round/1-0")))
         ledger.settleLoaded()
 
--- a/src/test/kotlin/burlridge/intent/ProductionTest.kt
+++ b/src/test/kotlin/burlridge/intent/ProductionTest.kt
@@ -1,6 +1,6 @@
 package burlridge.intent
 
-import burlridge.app.Json
+import burlridge.core.Json
 import burlridge.intake.JobSpec
 import burlridge.peer.PeerMessage
 import burlridge.store.Row
--- a/src/test/kotlin/burlridge/app/GuestsTest.kt
+++ b/src/test/kotlin/burlridge/net/ClientConnectionsTest.kt
@@ -1,5 +1,9 @@
-package burlridge.app
+package burlridge.net
 
+import burlridge.core.Answer
+import burlridge.core.Effect
+import burlridge.core.Endpoint
+import burlridge.core.Outcome
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
@@ -11,36 +15,36 @@
 import org.junit.jupiter.api.Test
 import java.net.ServerSocket
 
-internal class GuestsTest {
+internal class ClientConnectionsTest {
     /** Guards a controller's sockets at half as many machines again as it has connections for. */
     @Test
     fun `the parts of the budget leave room below the limit`() {
         for (most in listOf(100, 1729, 1919, 2000)) {
             val budget = ConnectionBudget(most)
-            assertTrue(budget.guests + budget.backlog + budget.commands + budget.kept < most * 0.98, "of $most: $budget")
-            assertTrue(budget.crowded < budget.guests)
+            assertTrue(budget.clients + budget.backlog + budget.commands + budget.kept < most * 0.98, "of $most: $budget")
+            assertTrue(budget.crowded < budget.clients)
         }
     }
 
     @Test
     fun `at the limit the one longest quiet goes, and nobody who waits for an answer or has just come`() {
-        val guests = Guests<String>(most = 4, crowded = 2, patienceS = 9.0)
+        val clients = ClientConnections<String>(most = 4, crowded = 2, reclaimAfterS = 9.0)
         listOf("dead", "worker", "probe").forEach {
-            guests.enter(it, 0.0)
-            guests.asks(it)
+            clients.opened(it, 0.0)
+            clients.requested(it)
         }
-        guests.answered("dead", 1.0)
-        guests.answered("worker", 7.0)
-        guests.enter("new", 8.0)
-        assertTrue(guests.isFull)
-        assertNull(guests.spare(9.5))
-        assertEquals("dead", guests.spare(10.5))
-        guests.leave("dead")
+        clients.answered("dead", 1.0)
+        clients.answered("worker", 7.0)
+        clients.opened("new", 8.0)
+        assertTrue(clients.isFull)
+        assertNull(clients.reclaimable(9.5))
+        assertEquals("dead", clients.reclaimable(10.5))
+        clients.closed("dead")
         // The worker is due any moment, the probe waits for its answer.
-        assertNull(guests.spare(15.5))
-        assertEquals("worker", guests.spare(16.5))
-        guests.asks("worker")
-        assertEquals("new", guests.spare(17.5))
+        assertNull(clients.reclaimable(15.5))
+        assertEquals("worker", clients.reclaimable(16.5))
+        clients.requested("worker")
+        assertEquals("new", clients.reclaimable(17.5))
     }
 
     /** Three times as many workers as places, all over loopback: each is answered in every turn, and the places suffice. */
@@ -75,8 +79,8 @@
         }
         loop.run()
         assertEquals(TURNS * CROWD, answered)
-        assertTrue(server.open <= budget.guests, "${server.open} stay open")
-        assertTrue(most <= budget.guests, "$most at once")
+        assertTrue(server.open <= budget.clients, "${server.open} stay open")
+        assertTrue(most <= budget.clients, "$most at once")
     }
 
     private companion object {
--- a/src/test/kotlin/burlridge/app/ConnectionTest.kt
+++ b/src/test/kotlin/burlridge/net/ConnectionTest.kt
@@ -1,5 +1,9 @@
-package burlridge.app
+package burlridge.net
 
+import burlridge.core.Answer
+import burlridge.core.Effect
+import burlridge.core.Endpoint
+import burlridge.core.Input
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import org.junit.jupiter.api.AfterEach
--- a/src/test/kotlin/burlridge/app/EventLoopTest.kt
+++ b/src/test/kotlin/burlridge/net/EventLoopTest.kt
@@ -1,5 +1,8 @@
-package burlridge.app
+package burlridge.net
 
+import burlridge.core.Effect
+import burlridge.core.Endpoint
+import burlridge.core.Outcome
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
--- a/src/test/kotlin/burlridge/app/KnownHeadTest.kt
+++ b/src/test/kotlin/burlridge/net/RequestHeadTest.kt
@@ -1,4 +1,4 @@
-package burlridge.app
+package burlridge.net
 
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -6,14 +6,14 @@
 import org.junit.jupiter.api.Test
 
 /** A request is taken by its known head only where it is whole and nothing but the length of its body differs. */
-internal class KnownHeadTest {
+internal class RequestHeadTest {
     private fun request(
         body: String,
         length: String = "${body.length}",
         extra: String = "",
     ) = "POST /agent/beat HTTP/1.1\r\nHost: a:1\r\n${extra}Content-Length: $length\r\nX: y\r\n\r\n$body".encodeToByteArray()
 
-    private fun known(bytes: ByteArray) = KnownHead.of(bytes, "POST", "/agent/beat", 2)
+    private fun known(bytes: ByteArray) = RequestHead.of(bytes, "POST", "/agent/beat", 2)
 
     private val head = checkNotNull(known(request("{}")))
 
@@ -51,7 +51,7 @@
     @Test
     fun `a request without a body matches to the last byte`() {
         val probe = "GET /ready HTTP/1.1\r\nHost: a:1\r\n\r\n".encodeToByteArray()
-        val ready = checkNotNull(KnownHead.of(probe, "GET", "/ready", 0))
+        val ready = checkNotNull(RequestHead.of(probe, "GET", "/ready", 0))
         assertEquals(probe.size, ready.bodyAt(probe))
         assertEquals(-1, ready.bodyAt(probe + 'x'.code.toByte()))
         assertEquals(-1, ready.bodyAt(probe.copyOf(probe.size - 1)))
--- a/src/test/kotlin/burlridge/sim/AdditionsTest.kt
+++ b/src/test/kotlin/burlridge/sim/AdditionsTest.kt
@@ -109,7 +109,7 @@
     /** Guards the claim that waiting raises: by the least work first alone the largest would never begin. */
     @Test
     fun `under overload the largest jobs begin within four minutes, and the late ones are not forgotten`() {
-        val large = (0 until 3).map { world.job(it, 40, cpus = 4.0, runS = 30.0, lane = "bulk", spot = false) }
+        val large = (0 until 3).map { world.job(it, 40, cpus = 4.0, runS = 30.0, jobClass = "bulk", spot = false) }
         large.forEach { world.clock.after(20.0) { world.submit(it) } }
         repeat(260) { i -> world.clock.after(10.0 + 2 * i) { world.submit(world.job(100 + i, 8, cpus = 4.0, runS = 25.0)) } }
         world.run(300.0)
--- a/src/test/kotlin/burlridge/sim/GangHall.kt
+++ b/src/test/kotlin/burlridge/sim/GangHall.kt
@@ -9,7 +9,7 @@
 ) {
     /** A gang task on its machine, as its attempt sees it. */
     internal interface Seat {
-        val piece: String
+        val taskName: String
 
         /** How many times as long as usual its machine takes. */
         val slowness: Double
--- a/src/test/kotlin/burlridge/sim/GangTest.kt
+++ b/src/test/kotlin/burlridge/sim/GangTest.kt
@@ -100,7 +100,7 @@
     @Test
     fun `small work passing by does not starve a large gang`() {
         val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
-        repeat(300) { i -> small.clock.after(20.0 + 0.7 * i) { small.submit(small.job(100 + i, 7, runS = 12.0, lane = "bulk")) } }
+        repeat(300) { i -> small.clock.after(20.0 + 0.7 * i) { small.submit(small.job(100 + i, 7, runS = 12.0, jobClass = "bulk")) } }
         small.clock.after(40.0) { small.submit(small.gang(1, 16)) }
         small.run(220.0)
         assertEquals(emptyList<String>(), small.rules.broken)
@@ -112,7 +112,7 @@
     fun `a gang that there will never be room for blocks nobody`() {
         val small = World(23, types = mapOf("small" to TypeSpec(4.0, 16.0, 4)), guaranteed = 0.0)
         small.clock.after(30.0) { small.submit(small.gang(1, 60).copy(zone = "a")) }
-        val others = (0 until 40).map { small.job(100 + it, 3, runS = 5.0, lane = "bulk", zone = "a", spot = false) }
+        val others = (0 until 40).map { small.job(100 + it, 3, runS = 5.0, jobClass = "bulk", zone = "a", spot = false) }
         others.forEachIndexed { i, spec -> small.clock.after(31.0 + 4 * i) { small.submit(spec) } }
         small.run(240.0)
         assertEquals(emptyList<String>(), small.rules.broken)
@@ -125,7 +125,7 @@
         val tight = World(28, guaranteed = 0.0, types = mapOf("big" to TypeSpec(16.0, 64.0, 4)))
         repeat(
             200,
-        ) { i -> tight.clock.after(20.0 + i) { tight.submit(tight.job(100 + i, 4, runS = 12.0, team = "crew-x", lane = "bulk")) } }
+        ) { i -> tight.clock.after(20.0 + i) { tight.submit(tight.job(100 + i, 4, runS = 12.0, team = "crew-x", jobClass = "bulk")) } }
         tight.clock.after(40.0) { tight.submit(tight.gang(1, 40, team = "crew-x")) }
         tight.run(215.0)
         assertEquals(emptyList<String>(), tight.rules.broken)
--- a/src/test/kotlin/burlridge/sim/MeetingsTest.kt
+++ b/src/test/kotlin/burlridge/sim/MeetingsTest.kt
@@ -56,7 +56,7 @@
     ): List<String> =
         (0 until count).map { i ->
             val team = if (i % 2 == 0) "crew-x" else "crew-y"
-            val spec = job(i, 6, cpus = 4.0, runS = runS, team = team, lane = if (i % 3 == 0) "urgent" else "bulk")
+            val spec = job(i, 6, cpus = 4.0, runS = runS, team = team, jobClass = if (i % 3 == 0) "urgent" else "bulk")
             at(5.0 + i) { submit(spec) }
             if (cancelledAt != null && i % 2 == 0) at(cancelledAt + i * 0.3) { abort(spec) }
             spec.id
@@ -206,7 +206,7 @@
             peerS = { 0.05 + random.nextDouble() * 0.4 }
             val jobs =
                 (0 until 40).map { i ->
-                    val spec = job(i, 10, cpus = 4.0, runS = 12.0, lane = if (i % 2 == 0) "urgent" else "bulk")
+                    val spec = job(i, 10, cpus = 4.0, runS = 12.0, jobClass = if (i % 2 == 0) "urgent" else "bulk")
                     at(10.0 + i) { submit(spec) }
                     spec.id
                 }
--- a/src/test/kotlin/burlridge/sim/MixedTest.kt
+++ b/src/test/kotlin/burlridge/sim/MixedTest.kt
@@ -39,7 +39,7 @@
         val world = mixed(31)
         val jobs = world.arrays(24)
         world.roll(30.0)
-        world.clock.after(75.0) { world.state.lower(valueKb = 2.0, txnOps = 4) }
+        world.clock.after(75.0) { world.state.lower(valueKb = 2.0, changesPerTransaction = 4) }
         world.clock.after(80.0) { world.submit(world.gang(90, 6)) }
         world.run(240.0)
         world.verdict(jobs + "j-000090")
@@ -90,7 +90,7 @@
             val jobs = world.arrays(24)
             world.roll(25.0 + seed % 20)
             Troubles(world, seed).draw(8, 20.0, 110.0)
-            world.clock.after(85.0) { world.state.lower(valueKb = 2.0, txnOps = 4) }
+            world.clock.after(85.0) { world.state.lower(valueKb = 2.0, changesPerTransaction = 4) }
             repeat(4) { i -> world.clock.after(90.0 + 5 * i) { world.submit(world.gang(90 + i, 4)) } }
             world.run(420.0)
             try {
--- a/src/test/kotlin/burlridge/sim/Rules.kt
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -132,62 +132,62 @@
     fun finished(job: String): Boolean = told[job] != null
 
     fun started(
-        piece: String,
+        taskName: String,
         worker: Worker,
     ) {
         starts++
-        val job = piece.substringBefore('/')
+        val job = taskName.substringBefore('/')
         firstStarts.putIfAbsent(job, clock.now)
-        val spec = jobs[job] ?: return breach("wrong_place", "$piece belongs to no job")
+        val spec = jobs[job] ?: return breach("wrong_place", "$taskName belongs to no job")
         val others = on.values.flatten()
-        on[piece]?.firstOrNull()?.let { breach("ran_twice", "$piece starts on ${worker.id} while on ${it.machine.id}") }
-        if (spec.types != null && worker.type !in spec.types) breach("wrong_place", "$piece on type ${worker.type}")
-        if (spec.zone != null && worker.zone != spec.zone) breach("wrong_place", "$piece in zone ${worker.zone}")
-        if (worker.spot && !spec.spot) breach("wrong_place", "$piece on a spot machine")
+        on[taskName]?.firstOrNull()?.let { breach("ran_twice", "$taskName starts on ${worker.id} while on ${it.machine.id}") }
+        if (spec.types != null && worker.type !in spec.types) breach("wrong_place", "$taskName on type ${worker.type}")
+        if (spec.zone != null && worker.zone != spec.zone) breach("wrong_place", "$taskName in zone ${worker.zone}")
+        if (worker.spot && !spec.spot) breach("wrong_place", "$taskName on a spot machine")
         val siblings =
             on
                 .filterKeys { it.substringBefore('/') == job }
                 .values
                 .flatten()
                 .map { it.machine.zone }
-        if (spec.oneZone && siblings.any { it != worker.zone }) breach("wrong_place", "$piece apart from its job's other tasks")
+        if (spec.oneZone && siblings.any { it != worker.zone }) breach("wrong_place", "$taskName apart from its job's other tasks")
         if (spec.spread &&
             siblings.count { it == worker.zone } + 1 > (spec.tasks + 1) / 2
         ) {
-            breach("wrong_place", "$piece crowds ${worker.zone}")
+            breach("wrong_place", "$taskName crowds ${worker.zone}")
         }
-        on.getOrPut(piece) { ArrayList() } += On(worker)
+        on.getOrPut(taskName) { ArrayList() } += On(worker)
         val use = teamUse(spec.team)
         val cpus = teamCpus[spec.team] ?: 0.0
         val gpus = teamGpus[spec.team] ?: 0.0
         val over = (cpus > 0 && use.cpus > cpus + 1e-6) || (gpus > 0 && use.gpus > gpus + 1e-6)
         if (over) breach("quota", "${spec.team} uses $use with ${others.size + 1} tasks")
         cancelledAt[job]?.let {
-            startsAfterCancellation += piece to clock.now - it
+            startsAfterCancellation += taskName to clock.now - it
             if (clock.now >
                 it + cancelS
             ) {
-                breach("ran_cancelled", "$piece starts ${clock.now - it} s after its cancellation")
+                breach("ran_cancelled", "$taskName starts ${clock.now - it} s after its cancellation")
             }
         }
     }
 
     private fun teamUse(team: String): Size =
-        on.entries.fold(Size.NONE) { sum, (piece, machines) ->
-            val spec = jobs[piece.substringBefore('/')]?.takeIf { it.team == team }
+        on.entries.fold(Size.NONE) { sum, (taskName, machines) ->
+            val spec = jobs[taskName.substringBefore('/')]?.takeIf { it.team == team }
             if (spec == null) sum else machines.fold(sum) { s, _ -> s + spec.size }
         }
 
     fun ended(
-        piece: String,
+        taskName: String,
         worker: Worker,
         done: Boolean,
     ) {
-        on[piece]?.let { list ->
+        on[taskName]?.let { list ->
             list.removeIf { it.machine === worker }
-            if (list.isEmpty()) on.remove(piece)
+            if (list.isEmpty()) on.remove(taskName)
         }
-        if (done) completed.getOrPut(piece.substringBefore('/')) { HashSet() } += piece.substringAfter('/').toInt()
+        if (done) completed.getOrPut(taskName.substringBefore('/')) { HashSet() } += taskName.substringAfter('/').toInt()
     }
 
     private val firstStarts = HashMap<String, Double>()
@@ -195,16 +195,17 @@
     /** When the first task of [job] started; -1 if none has. */
     fun firstStart(job: String): Double = firstStarts[job] ?: -1.0
 
-    fun hasCompleted(piece: String): Boolean = completed[piece.substringBefore('/')]?.contains(piece.substringAfter('/').toInt()) == true
+    fun hasCompleted(taskName: String): Boolean =
+        completed[taskName.substringBefore('/')]?.contains(taskName.substringAfter('/').toInt()) == true
 
     /** Called now and then: tasks of cancelled jobs must be gone in time. */
     fun sweep() {
-        for ((piece, machines) in on) {
-            val at = cancelledAt[piece.substringBefore('/')] ?: continue
+        for ((taskName, machines) in on) {
+            val at = cancelledAt[taskName.substringBefore('/')] ?: continue
             if (clock.now > at + cancelS &&
                 machines.isNotEmpty()
             ) {
-                breach("ran_cancelled", "$piece is on ${machines[0].machine.id} ${clock.now - at} s after")
+                breach("ran_cancelled", "$taskName is on ${machines[0].machine.id} ${clock.now - at} s after")
             }
         }
     }
--- a/src/test/kotlin/burlridge/sim/ScaleTest.kt
+++ b/src/test/kotlin/burlridge/sim/ScaleTest.kt
@@ -24,4 +24,39 @@
         assertTrue(work.getValue("placement.candidates") < tasks * 400L, "candidates: $work")
         assertTrue(world.state.writes < 25 * 200 / 2, "writes: ${world.state.writes}")
     }
+
+    /** Guards the cost of a fleet that has nothing to do, which is what a small controller has least room for. */
+    @Test
+    fun `an idle fleet costs reports that are compared, and little else`() {
+        for (size in listOf(1_100, 1_650)) {
+            val types = mapOf("small" to TypeSpec(4.0, 16.0, size / 6), "big" to TypeSpec(16.0, 64.0, size / 6))
+            val world = World(5, types = types, guaranteed = 0.0)
+            val jobs = (0 until 20).map { world.job(it, 60, cpus = 1.0, runS = 20.0) }
+            jobs.forEachIndexed { i, job -> world.clock.after(30.0 + i) { world.submit(job) } }
+            world.run(IDLE_FROM_S)
+            assertEquals(emptyList<String>(), jobs.map { it.id }.filterNot { world.rules.finished(it) }, "not over")
+            val machines = world.cloud.names().size
+            assertTrue(machines >= size * 0.9, "$machines machines of $size")
+            val leader = world.leader().orEmpty()
+            val before = HashMap(world.work(leader))
+            world.run(IDLE_FROM_S + IDLE_S)
+            assertEquals(leader, world.leader())
+            val work = world.work(leader).mapValues { (name, amount) -> amount - (before[name] ?: 0L) }
+            val reports = work.getValue("worker.reports")
+            assertTrue(reports in (machines * IDLE_S / 4).toLong()..(machines * IDLE_S / 2.5).toLong(), "reports: $work")
+            assertTrue((work["worker.reports_read"] ?: 0L) <= reports / 100, "reports that were decoded: $work")
+            assertEquals(0L, work["worker.commands"] ?: 0L, "commands: $work")
+            assertEquals(0L, work["intent.rows"] ?: 0L, "rows: $work")
+            val requests = work.filterKeys { it.startsWith("store.requests") }.values.sum()
+            assertTrue(requests <= IDLE_S * REQUESTS_A_SECOND, "requests to the state service: $work")
+        }
+    }
+
+    private companion object {
+        const val IDLE_FROM_S = 150.0
+        const val IDLE_S = 60.0
+
+        /** Watches of the leader and its renewals: a handful in each lease. */
+        const val REQUESTS_A_SECOND = 2.0
+    }
 }
--- a/src/test/kotlin/burlridge/sim/StateService.kt
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -1,6 +1,6 @@
 package burlridge.sim
 
-import burlridge.app.Json
+import burlridge.core.Json
 import com.fasterxml.jackson.databind.JsonNode
 import java.util.TreeMap
 
@@ -11,7 +11,7 @@
     private class Entry(
         val value: JsonNode,
         val stamp: Long,
-        val tether: Long?,
+        val leaseId: Long?,
     )
 
     private class Change(
@@ -45,7 +45,7 @@
     val mostWrites: Int get() = writesIn.values.maxOrNull() ?: 0
 
     private var valueBytes = 8 * 1024
-    private var txnOps = 8
+    private var changesPerTransaction = 8
 
     /** Transactions beyond the limits. */
     var refusedAsTooLarge = 0
@@ -54,10 +54,10 @@
     /** From now on less is taken; what is stored stays. */
     fun lower(
         valueKb: Double,
-        txnOps: Int,
+        changesPerTransaction: Int,
     ) {
         valueBytes = (valueKb * 1024).toInt()
-        this.txnOps = txnOps
+        this.changesPerTransaction = changesPerTransaction
     }
 
     private var writeRps = Double.MAX_VALUE
@@ -170,8 +170,8 @@
     ) {
         val ops = txn.path("then").toList()
         check(txn.toString().length <= 64 * 1024) { "transaction too large" }
-        check(txn.path("if").size() <= 4 * txnOps) { "too many conditions: ${txn.path("if").size()}" }
-        if (ops.size > txnOps || ops.any { it.path("value").toString().length > valueBytes }) {
+        check(txn.path("if").size() <= 4 * changesPerTransaction) { "too many conditions: ${txn.path("if").size()}" }
+        if (ops.size > changesPerTransaction || ops.any { it.path("value").toString().length > valueBytes }) {
             refusedAsTooLarge++
             return reply(400, "{\"error\":\"too large\"}")
         }
@@ -236,7 +236,7 @@
 
     private fun drop(id: Long) {
         leases.remove(id) ?: return
-        val keys = rows.filterValues { it.tether == id }.keys.toList()
+        val keys = rows.filterValues { it.leaseId == id }.keys.toList()
         if (keys.isEmpty()) return
         revision++
         keys.forEach {
