--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -1,6 +1,7 @@
 package burlridge.sim
 
-import burlridge.app.Json
+import burlridge.core.Json
+import burlridge.intake.JobSpec
 import com.fasterxml.jackson.databind.JsonNode
 
 /** A stand-in for a worker: reports, executes commands, keeps its lease. */
@@ -13,13 +14,13 @@
     val address: String,
 ) {
     private inner class Task(
-        override val piece: String,
+        override val taskName: String,
         val run: Int,
         var standing: String,
         var cause: String? = null,
         var kept: Boolean = false,
     ) : GangHall.Seat {
-        val job: String get() = piece.substringBefore('/')
+        val job: String get() = taskName.substringBefore('/')
         val onMachine: Boolean get() = standing == "running" || standing == "gathering" || standing == "saving"
         override val slowness: Double get() = this@Worker.slowness
 
@@ -32,9 +33,9 @@
             cause: String,
             kept: Boolean,
         ) {
-            if (!alive || tasks["$piece@$run"] !== this || standing == "exited") return
+            if (!alive || tasks["$taskName@$run"] !== this || standing == "exited") return
             this.kept = kept
-            world.rules.ended(piece, this@Worker, cause == "done")
+            world.rules.ended(taskName, this@Worker, cause == "done")
             exit(this, cause)
         }
     }
@@ -53,7 +54,7 @@
     private var changed = false
 
     fun boot() {
-        beat()
+        heartbeat()
         watchLease()
     }
 
@@ -75,7 +76,7 @@
         world.clock.after(seconds) { world.cloud.take(id) }
     }
 
-    fun has(piece: String): Boolean = tasks.values.any { it.piece == piece && it.standing != "exited" }
+    fun has(taskName: String): Boolean = tasks.values.any { it.taskName == taskName && it.standing != "exited" }
 
     /** Whether [spec] might start here now. */
     fun hasRoomFor(spec: burlridge.intake.JobSpec): Boolean {
@@ -138,7 +139,7 @@
         task: Task,
         done: Boolean,
     ) {
-        if (task.onMachine) world.rules.ended(task.piece, this, done)
+        if (task.onMachine) world.rules.ended(task.taskName, this, done)
         if (task.onMachine && isGang(task)) world.hall.leaves(task.job, task.run, task)
     }
 
@@ -157,16 +158,16 @@
             recalledAt?.let { put("recallS", it - world.clock.now) }
             val list = putArray("pieces")
             tasks.values.forEach { t ->
-                list.addObject().put("piece", t.piece).put("try", t.run).put("standing", world.word(t.standing)).also { o ->
+                list.addObject().put("piece", t.taskName).put("try", t.run).put("standing", world.word(t.standing)).also { o ->
                     t.cause?.let { o.put("cause", world.word(it)) }
                     if (t.kept) o.put("kept", true)
                 }
             }
         }
 
-    private fun beat() {
+    private fun heartbeat() {
         if (!alive || inFlight) return
-        if (hung) return whenAwake { beat() }
+        if (hung) return whenAwake { heartbeat() }
         inFlight = true
         changed = false
         val sentAt = world.clock.now
@@ -191,12 +192,12 @@
                     val herder = world.members.indexOf(answer?.path("herder")?.asText(""))
                     val known = herder >= 0 && herder != node
                     node = if (known) herder else (node + 1) % world.members.size
-                    world.clock.after(if (known) world.random.nextDouble() * 0.5 else 1.0) { beat() }
+                    world.clock.after(if (known) world.random.nextDouble() * 0.5 else 1.0) { heartbeat() }
                 }
 
                 else -> {
                     node = (node + 1) % world.members.size
-                    world.clock.after(1.0) { beat() }
+                    world.clock.after(1.0) { heartbeat() }
                 }
             }
         }
@@ -209,7 +210,7 @@
             world.clock.after(0.5) {
                 if (alive && !inFlight) {
                     if (changed || world.clock.now >= at) {
-                        beat()
+                        heartbeat()
                     } else {
                         wait()
                     }
@@ -238,12 +239,12 @@
     }
 
     private fun execute(order: JsonNode) {
-        val piece = order.path("piece").asText()
+        val taskName = order.path("piece").asText()
         val run = order.path("try").asInt()
-        val key = "$piece@$run"
+        val key = "$taskName@$run"
         when (order.path("verb").asText()) {
             "run" -> {
-                if (key !in tasks) start(key, piece, run)
+                if (key !in tasks) start(key, taskName, run)
             }
 
             "halt" -> {
@@ -279,19 +280,19 @@
 
     private fun start(
         key: String,
-        piece: String,
+        taskName: String,
         run: Int,
     ) {
-        val task = Task(piece, run, "fetching")
+        val task = Task(taskName, run, "fetching")
         tasks[key] = task
-        val spec = world.rules.spec(piece.substringBefore('/'))
+        val spec = world.rules.spec(taskName.substringBefore('/'))
         if (spec == null) return exit(task, "unknown")
-        if (tasks.values.any { it !== task && it.piece == piece && it.standing != "exited" }) return exit(task, "in_use")
+        if (tasks.values.any { it !== task && it.taskName == taskName && it.standing != "exited" }) return exit(task, "in_use")
         val active = tasks.values.filter { it.standing != "exited" }
         val cpus =
             active.sumOf {
                 world.rules
-                    .spec(it.piece.substringBefore('/'))
+                    .spec(it.taskName.substringBefore('/'))
                     ?.size
                     ?.cpus ?: 0.0
             }
@@ -305,11 +306,11 @@
         runS: Double,
     ) {
         if (!alive || tasks[key] !== task || task.standing != "fetching") return
-        world.rules.started(task.piece, this)
-        if (isGang(task) && !world.rules.hasCompleted(task.piece)) return world.hall.enter(task.job, task.run, task)
+        world.rules.started(task.taskName, this)
+        if (isGang(task) && !world.rules.hasCompleted(task.taskName)) return world.hall.enter(task.job, task.run, task)
         task.standing = "running"
         changed = true
-        val need = if (world.rules.hasCompleted(task.piece)) 0.0 else runS * slowness
+        val need = if (world.rules.hasCompleted(task.taskName)) 0.0 else runS * slowness
         world.clock.after(need) { whenAwake { complete(key, task) } }
     }
 
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -1,12 +1,13 @@
 package burlridge.sim
 
 import burlridge.app.Controller
-import burlridge.app.Effect
-import burlridge.app.Endpoint
-import burlridge.app.Input
-import burlridge.app.Json
-import burlridge.app.Outcome
-import burlridge.app.Settings
+import burlridge.core.Answer
+import burlridge.core.Effect
+import burlridge.core.Endpoint
+import burlridge.core.Input
+import burlridge.core.Json
+import burlridge.core.Outcome
+import burlridge.core.Settings
 import burlridge.intake.JobSpec
 import burlridge.intake.Priority
 import burlridge.intake.Size
@@ -40,7 +41,7 @@
     old: Boolean = false,
     val times: Times = Times(),
     private val writeRps: Int = 50,
-    private val lanes: String = """{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}""",
+    private val jobClasses: String = """{"kind":"wait","class":"urgent","within_s":$waitAim,"share":0.9}""",
 ) {
     val clock = Clock()
     val random = Random(seed)
@@ -136,7 +137,7 @@
             "others":[${others.joinToString(",") { "{\"member\":\"$it\",\"zone\":\"a\",\"endpoint\":\"10.0.0.9:1\"}" }}],
             "services":{"cloud":"10.2.0.2:1","state":"10.2.0.1:1"},
             "params":{"teams":[{"name":"crew-x","cpus":$guaranteed,"cpus_max":48},{"name":"crew-y","cpus":0,"cpus_max":0}],
-            "objectives":[$lanes],
+            "objectives":[$jobClasses],
             "workers":{"report_s":$reportS,"lease_s":$leaseS,$gangTimes"cancel_s":$cancelS},
             "state":{"rps":200,"write_rps":$writeRps,"value_kb":8,"txn_ops":8$limitsToCome},"cloud":{"rps":8,"list_lag_s":3},
             "limits":{"cpu_share":0.25,"memory_mb":268.0,"max_connections":2000}}}""",
@@ -426,7 +427,7 @@
         cpus: Double = 1.0,
         runS: Double = 10.0,
         team: String = "crew-y",
-        lane: String = "urgent",
+        jobClass: String = "urgent",
         spot: Boolean = true,
         zone: String? = null,
         oneZone: Boolean = false,
@@ -434,9 +435,9 @@
     ): JobSpec =
         JobSpec(
             "j-%06d".format(number),
-            lane,
+            jobClass,
             team,
-            if (lane == "urgent") Priority.HIGH else Priority.NORMAL,
+            if (jobClass == "urgent") Priority.HIGH else Priority.NORMAL,
             tasks,
             Size(cpus, 0.0, cpus * 2),
             "img-1",
@@ -461,7 +462,7 @@
         spot: Boolean = false,
         oneZone: Boolean = true,
     ): JobSpec =
-        job(number, tasks, cpus, runS, team, lane = "gang", spot = spot, oneZone = oneZone)
+        job(number, tasks, cpus, runS, team, jobClass = "gang", spot = spot, oneZone = oneZone)
             .copy(gang = true, checkpointS = 5.0, saveS = 2.0)
 
     /** Submits until accepted, then polls until the job is over, and sometimes after. */
