--- a/src/main/kotlin/burlridge/failover/Failover.kt
+++ b/src/main/kotlin/burlridge/failover/Failover.kt
@@ -54,6 +54,7 @@
     private var lastSuspectedLeader: String? = null
     private var progress: TakeoverProgress? = null
     private var retryAt = 0.0
+    private var refusalsLoggedAt = -1e9
 
     /** Set once an operator, or a signal to stop, wants this member out. */
     var draining: Boolean = false
@@ -92,16 +93,24 @@
         val status = message.failover ?: return
         val fromTheFuture = status.incarnation > context.wallMs + FUTURE_MS
         if (fromTheFuture || !detector.heard(message.from, status.incarnation, status.sequence, context.now)) {
-            context.count("failover.heartbeats_refused")
-            context.infoRateLimited(
-                "heartbeats refused",
-                "a heartbeat of ${message.from.take(MOST_NAME)} is refused: a copy, overtaken or unknown",
-            )
+            refuse("heartbeats", message.from)
             return
         }
         statuses[message.from] = status
     }
 
+    /** What comes wrongly is counted, and logged once a flood. */
+    private fun refuse(
+        kind: String,
+        from: String,
+    ) {
+        context.count("failover.${kind}_refused")
+        if (context.now < refusalsLoggedAt + leadership.leaseS * LOG_LEASES) return
+        refusalsLoggedAt = context.now
+        val soFar = context.work.getLong("failover.${kind}_refused")
+        context.info("failover $kind refused: $soFar so far, the last in the name of \"${from.take(MOST_NAME)}\"")
+    }
+
     fun status(): FailoverStatus =
         FailoverStatus(incarnation, ++sequence, draining, isSlow, if (leadership.leading) FailoverStatus.NO_REPLICA else replica.revision)
 
@@ -162,7 +171,7 @@
 
     fun handover(message: PeerMessage.Handover) {
         if (message.from !in others) {
-            context.count("failover.messages_refused")
+            refuse("messages", message.from)
             return
         }
         when (val step = message.step) {
@@ -360,5 +369,6 @@
         /** Two clocks of day differ by far less; a heartbeat from later than that would make all later ones look old. */
         private const val FUTURE_MS = 60_000L
         private const val RETRY_LEASES = 2.0
+        private const val LOG_LEASES = 8.0
     }
 }
--- /dev/null
+++ b/src/test/kotlin/burlridge/failover/FailoverInputTest.kt
@@ -0,0 +1,165 @@
+package burlridge.failover
+
+import burlridge.app.CommandLine
+import burlridge.app.FailoverText
+import burlridge.app.SettingsFiles
+import burlridge.core.Json
+import burlridge.core.OperatorSettings
+import burlridge.core.SettingsError
+import burlridge.peer.PeerMessage
+import burlridge.sim.World
+import com.fasterxml.jackson.databind.JsonNode
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What outsiders, older and later versions and operators send wrongly. */
+internal class FailoverInputTest {
+    private val on = OperatorSettings(failover = FailoverSettings())
+
+    private fun World.ask(
+        member: String,
+        method: String,
+        path: String,
+    ): Pair<Int, JsonNode> {
+        var answer: Pair<Int, JsonNode>? = null
+        request("operator", member, method, path, "", 5.0) { status, body -> answer = status to Json.parse(body) }
+        run(clock.now + 3.0)
+        return answer ?: error("no answer")
+    }
+
+    @Test
+    fun `the operators' section is read, and each wrong key named in one line`() {
+        val settings = OperatorSettings.parse("[failover]\nstandbys = 2\nsuspect_level = 6.5\ntrace_file = t.jsonl\n").failover
+        assertEquals(FailoverSettings(standbys = 2, suspectLevel = 6.5, traceFile = "t.jsonl"), settings)
+        assertEquals(FailoverSettings(), OperatorSettings.parse("[failover]\n").failover)
+        assertEquals(null, OperatorSettings.parse("[fleet]\n").failover)
+        val wrong =
+            mapOf(
+                "standby = 1" to "unknown key standby",
+                "standbys = 1.5" to "standbys in [failover] must be a whole number",
+                "standbys = many" to "standbys in [failover] must be a number",
+                "standbys = -1" to "standbys in [failover] must be a number from 0.0 to 10.0",
+                "suspect_level = 0" to "suspect_level in [failover]",
+                "refresh_reports = NaN" to "refresh_reports in [failover]",
+                "replica_part = 2" to "replica_part in [failover]",
+                "slow_stalls = 1e9" to "slow_stalls in [failover]",
+                "trace_file =" to "trace_file in [failover] is empty",
+            )
+        for ((line, complaint) in wrong) {
+            val message = assertThrows(SettingsError::class.java, { OperatorSettings.parse("[failover]\n$line\n") }, line).message.orEmpty()
+            assertTrue(complaint in message && '\n' !in message, message)
+        }
+    }
+
+    @Test
+    fun `heartbeats that are copies, from the future or of strangers are refused, counted and logged once`() {
+        val world = World(1, operator = on)
+        world.run(10.0)
+        val status = FailoverStatus(incarnation = 1, sequence = 1)
+
+        fun heartbeat(
+            from: String,
+            failover: FailoverStatus,
+        ) = world.tell("drover-0", PeerMessage.Status(from, 0, "", false, false, true, emptyList(), failover))
+        repeat(50) { heartbeat("drover-1", status) }
+        heartbeat("drover-1", status.copy(incarnation = Long.MAX_VALUE, sequence = 9))
+        heartbeat("drover-9", status)
+        heartbeat("", status.copy(incarnation = -5, sequence = Long.MIN_VALUE))
+        assertEquals(53, world.work("drover-0")["failover.heartbeats_refused"])
+        world.run(20.0)
+        assertEquals(1, world.log.count { "heartbeats refused" in it }, world.log.filter { "heartbeat" in it }.toString())
+        val views = world.ask("drover-0", "GET", AdminRequests.STATUS).second.path("members")
+        assertEquals(listOf("drover-1", "drover-2"), views.map { it.path("member").asText() })
+        assertTrue(views.all { it.path("state").asText() == "alive" }, views.toString())
+    }
+
+    /** None of these may move the leadership, whatever the order: each names an attempt, a term or a member that is not the one. */
+    @Test
+    fun `steps of a handover that was never offered change nothing`() {
+        val world = World(2, operator = on)
+        world.run(10.0)
+        val leader = world.leader()!!
+        val term = Json.parse(world.state.value("term").toString()).path("n").asLong()
+        val steps =
+            listOf(
+                HandoverMessage.Accept(7, term, 1),
+                HandoverMessage.Accept(0, -1, Long.MAX_VALUE),
+                HandoverMessage.Transferred(7, term + 1),
+                HandoverMessage.Decline(7, "x".repeat(10_000)),
+                HandoverMessage.Withdraw(7, ""),
+                HandoverMessage.Offer(7, term, "not the leader's"),
+            )
+        for (member in world.members) {
+            for (from in world.members + "drover-9") steps.forEach { world.tell(member, PeerMessage.Handover(from, it)) }
+        }
+        // An offer that the leader did not make leaves a lease that nobody uses.
+        world.run(60.0)
+        assertEquals(leader, world.leader())
+        assertEquals(
+            term,
+            world.state
+                .value("term")
+                ?.path("n")
+                ?.asLong(),
+        )
+        // From a stranger, and in its own name.
+        assertEquals(setOf(steps.size * 2L), world.members.map { world.work(it)["failover.messages_refused"] }.toSet())
+    }
+
+    @Test
+    fun `status and drain answer what they are asked and say why not`() {
+        val world = World(3, operator = on)
+        world.run(10.0)
+        val leader = world.leader()!!
+        val (other, third) = world.members.filter { it != leader }
+        val (status, report) = world.ask(other, "GET", AdminRequests.STATUS)
+        assertEquals(200, status)
+        assertEquals(leader, report.path("leader").asText())
+        val text = FailoverText.describe(report)
+        assertTrue("leader $leader, term 1" in text && "$third alive" in text, text)
+        assertEquals(405, world.ask(other, "POST", AdminRequests.STATUS).first)
+        assertEquals(405, world.ask(other, "GET", AdminRequests.DRAIN).first)
+        assertEquals(404, world.ask(other, "GET", "/admin/other").first)
+        val (unknown, why) = world.ask(other, "POST", AdminRequests.DRAIN + "/drover-9")
+        assertEquals(409 to "drover-9 is not drained: there is no member drover-9", unknown to why.path("error").asText())
+        world.crash(third, 1000.0)
+        world.run(world.clock.now + 10.0)
+        val (dead, reason) = world.ask(other, "POST", AdminRequests.DRAIN + "/$third")
+        assertEquals(409, dead)
+        assertTrue("$third is suspected" in reason.path("error").asText(), reason.toString())
+        assertEquals(200, world.ask(other, "POST", AdminRequests.DRAIN + "/$leader").first)
+        world.run(world.clock.now + 5.0)
+        assertEquals(other, world.leader(), world.log.takeLast(20).joinToString("\n"))
+        assertEquals(200, world.ask(leader, "POST", AdminRequests.DRAIN).first, "asked for twice it is one drain")
+        assertTrue(
+            world
+                .ask(leader, "GET", AdminRequests.STATUS)
+                .second
+                .path("drained")
+                .asBoolean(),
+        )
+        val (last, lastWhy) = world.ask(other, "POST", AdminRequests.DRAIN)
+        assertEquals(409 to "$other is not drained: no other member is alive to take over", last to lastWhy.path("error").asText())
+    }
+
+    @Test
+    fun `without failover there are no such paths`() {
+        val world = World(4)
+        world.run(10.0)
+        assertEquals(404, world.ask("drover-0", "GET", AdminRequests.STATUS).first)
+        assertEquals(404, world.ask("drover-0", "POST", AdminRequests.DRAIN).first)
+    }
+
+    @Test
+    fun `the command line takes status and drain`() {
+        val files = SettingsFiles("a.json", "b.ini")
+        val both = listOf("--config", "a.json", "--settings", "b.ini")
+        assertEquals(CommandLine.Status(files), CommandLine.parse(listOf("status") + both))
+        assertEquals(CommandLine.Drain(files, null, 30), CommandLine.parse(listOf("drain") + both))
+        assertEquals(CommandLine.Drain(files, "m", 5), CommandLine.parse(listOf("drain", "--member", "m", "--wait", "5") + both))
+        assertTrue(CommandLine.parse(listOf("drain", "--wait", "soon") + both) is CommandLine.Mistaken)
+        assertTrue(CommandLine.parse(listOf("status", "--wait", "5") + both) is CommandLine.Mistaken)
+    }
+}
--- a/src/test/kotlin/burlridge/net/EventLoopTest.kt
+++ b/src/test/kotlin/burlridge/net/EventLoopTest.kt
@@ -79,7 +79,46 @@
         assertEquals(Outcome.Answered(200, "{}"), outcome)
     }
 
+    /** Guards the check where a call leaves: it waited for its place, or the process stood still, until it might not go any more. */
+    @Test
+    fun `a call whose time to leave is over is never written`() {
+        val loop = EventLoop()
+        val scope = CoroutineScope(loop)
+        var late: Outcome? = null
+        var inTime: Outcome? = null
+        val written = ArrayList<String>()
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+            thread(isDaemon = true) {
+                server.accept().use { socket ->
+                    val lines = socket.getInputStream().bufferedReader()
+                    while (true) {
+                        val line = lines.readLine() ?: break
+                        if (line.startsWith("GET")) written += line
+                        if (line.isEmpty()) {
+                            socket.getOutputStream().write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".encodeToByteArray(),
+                            )
+                        }
+                    }
+                }
+            }
+            val client = HttpClient(loop, scope, 1, 1, emptySet())
+            val target = Endpoint("127.0.0.1", server.localPort)
+            val now = System.nanoTime() / 1e9
+            scope.launch {
+                late = client.call(Effect.Call(1, target, "GET", "/late", null, LONG_S, leaveBy = now - 1))
+                inTime = client.call(Effect.Call(2, target, "GET", "/in-time", null, LONG_S, leaveBy = now + LONG_S))
+                loop.stop()
+            }
+            loop.run()
+        }
+        assertEquals(Outcome.NotSent, late)
+        assertEquals(Outcome.Answered(200, "{}"), inTime)
+        assertEquals(listOf("GET /in-time HTTP/1.1"), written)
+    }
+
     private companion object {
+        const val LONG_S = 30.0
         const val TIMEOUT_S = 0.2
     }
 }
--- a/src/test/kotlin/burlridge/sim/CloudService.kt
+++ b/src/test/kotlin/burlridge/sim/CloudService.kt
@@ -16,7 +16,13 @@
     private val machines = LinkedHashMap<String, Rented>()
     private val atAddress = HashMap<String, Worker>()
     private val answers = HashMap<String, String>()
-    private val snapshots = ArrayList<Pair<Double, String>>()
+
+    private class Snapshot(
+        val at: Double,
+        val entries: List<Pair<String, String>>,
+    )
+
+    private val snapshots = ArrayDeque<Snapshot>()
     private var next = 1
     var down = false
     var silentBoots = false
@@ -52,7 +58,7 @@
             }
 
             target.startsWith("/rentals?") -> {
-                reply(200, list())
+                reply(200, list(target.substringAfter('?')))
             }
 
             else -> {
@@ -105,7 +111,7 @@
         spot: Boolean,
     ): String {
         val id = "m-%06d".format(next)
-        val rented = Rented(Worker(world, id, type, zone, spot, "10.1.0.${next++}:9000"), world.clock.now)
+        val rented = Rented(Worker(world, id, type, zone, spot, world.addressOf(next++)), world.clock.now)
         machines[id] = rented
         atAddress[rented.worker.address] = rented.worker
         if (!silentBoots) {
@@ -137,17 +143,27 @@
     private fun snapshot() {
         val now = world.clock.now
         val entries =
-            machines.entries.joinToString(",") { (id, m) ->
-                "{\"id\":\"$id\",\"addr\":\"${m.worker.address}\",\"breed\":\"${m.worker.type}\",\"yard\":\"${m.worker.zone}\"," +
+            machines.entries.map { (id, m) ->
+                id to "{\"id\":\"$id\",\"addr\":\"${m.worker.address}\",\"breed\":\"${m.worker.type}\",\"yard\":\"${m.worker.zone}\"," +
                     "\"loaners\":${m.worker.spot},\"standing\":\"${if (m.up) "running" else "starting"}\",\"ageS\":${now - m.at}}"
             }
-        snapshots += now to "{\"drovers\":[$entries],\"truncated\":false}"
+        snapshots += Snapshot(now, entries)
+        while (snapshots.first().at < now - MOST_LAG_S * 2) snapshots.removeFirst()
     }
 
-    private fun list(): String {
+    /** A page of the list as it was some seconds ago. */
+    private fun list(query: String): String {
+        val asked = query.split('&').associate { it.substringBefore('=') to it.substringAfter('=') }
+        val limit = asked["limit"]?.toIntOrNull() ?: Int.MAX_VALUE
         snapshot()
         val now = world.clock.now
-        val lag = world.random.nextDouble() * 6
-        return snapshots.lastOrNull { it.first <= now - lag }?.second ?: "{\"drovers\":[],\"truncated\":false}"
+        val lag = world.random.nextDouble() * MOST_LAG_S
+        val entries = snapshots.lastOrNull { it.at <= now - lag }?.entries.orEmpty()
+        val rest = entries.filter { (id, _) -> id > asked["from"].orEmpty() }
+        return "{\"drovers\":[${rest.take(limit).joinToString(",") { it.second }}],\"truncated\":${rest.size > limit}}"
+    }
+
+    private companion object {
+        const val MOST_LAG_S = 6.0
     }
 }
--- a/src/test/kotlin/burlridge/sim/Environment.kt
+++ b/src/test/kotlin/burlridge/sim/Environment.kt
@@ -20,6 +20,9 @@
     /** What a worker calls a state or a cause; a later version may have words of its own. */
     val word: (String) -> String
 
+    /** Where the worker of the cloud's machine [number] listens. */
+    fun addressOf(number: Int): String = "10.1.0.$number:9000"
+
     /** A request from outside to the controller [name]; status 0 where no answer comes. */
     fun request(
         from: String,
--- a/src/test/kotlin/burlridge/sim/ScaleTest.kt
+++ b/src/test/kotlin/burlridge/sim/ScaleTest.kt
@@ -4,18 +4,27 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
-/** Fifteen hundred machines and the largest arrays: what is asserted is work, never time. */
+/** Fifteen hundred to six thousand machines and the largest arrays: what is asserted is work, never time. */
 internal class ScaleTest {
     @Test
-    fun `work grows with tasks and machines, not with their product`() {
-        val types = mapOf("small" to TypeSpec(4.0, 16.0, 250), "big" to TypeSpec(16.0, 64.0, 125))
+    fun `work grows with tasks and machines, not with their product`() = busyFleet(1_500)
+
+    /** No fixed limit may stand below the fleet that the operators run. */
+    @Test
+    fun `the same holds for four thousand machines`() = busyFleet(4_000)
+
+    @Test
+    fun `the same holds for six thousand machines`() = busyFleet(6_000)
+
+    private fun busyFleet(machines: Int) {
+        val types = mapOf("small" to TypeSpec(4.0, 16.0, machines / 6), "big" to TypeSpec(16.0, 64.0, machines / 12))
         val world = World(5, types = types, guaranteed = 0.0)
         val jobs = (0 until 60).map { world.job(it, if (it % 10 == 0) 500 else 60, cpus = if (it % 3 == 0) 4.0 else 1.0, runS = 20.0) }
         jobs.forEachIndexed { i, job -> world.clock.after(40.0 + i) { world.submit(job) } }
         world.run(200.0)
         assertEquals(emptyList<String>(), world.rules.broken)
         assertEquals(emptyList<String>(), jobs.map { it.id }.filterNot { world.rules.finished(it) }, "not over")
-        assertEquals(1500, world.cloud.names().size)
+        assertEquals(machines / 12 * 12, world.cloud.names().size)
         val tasks = jobs.sumOf { it.tasks }
         val work = world.work(world.leader().orEmpty())
         assertEquals(tasks, world.rules.starts)
@@ -28,7 +37,7 @@
     /** Guards the cost of a fleet that has nothing to do, which is what a small controller has least room for. */
     @Test
     fun `an idle fleet costs reports that are compared, and little else`() {
-        for (size in listOf(1_100, 1_650)) {
+        for (size in listOf(1_100, 1_650, 4_000)) {
             val types = mapOf("small" to TypeSpec(4.0, 16.0, size / 6), "big" to TypeSpec(16.0, 64.0, size / 6))
             val world = World(5, types = types, guaranteed = 0.0)
             val jobs = (0 until 20).map { world.job(it, 60, cpus = 1.0, runS = 20.0) }
--- a/src/test/kotlin/burlridge/sim/StateService.kt
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -93,6 +93,8 @@
         }
     }
 
+    fun value(key: String): JsonNode? = rows[key]?.value
+
     fun keys(prefix: String): List<String> = rows.keys.filter { it.startsWith(prefix) }
 
     fun handle(
--- a/src/test/kotlin/burlridge/sim/Worker.kt
+++ b/src/test/kotlin/burlridge/sim/Worker.kt
@@ -53,6 +53,9 @@
     private var inFlight = false
     private var changed = false
 
+    /** The term of the highest token that it has seen. */
+    val term: Long get() = token shr TERM_SHIFT
+
     fun boot() {
         heartbeat()
         watchLease()
@@ -323,4 +326,8 @@
             exit(task, "done")
         }
     }
+
+    private companion object {
+        const val TERM_SHIFT = 20
+    }
 }
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -330,6 +330,12 @@
         return starts || (call.method == "POST" && call.path.startsWith("/rentals"))
     }
 
+    /** A message as it comes over a link, whoever sent it. */
+    fun tell(
+        name: String,
+        message: PeerMessage,
+    ) = step(name, Input.FromPeer(message))
+
     fun drain(name: String) = step(name, Input.Drain)
 
     private fun carryOut(
