--- a/src/main/kotlin/burlridge/failover/FailureDetector.kt
+++ b/src/main/kotlin/burlridge/failover/FailureDetector.kt
@@ -50,13 +50,16 @@
         var silentSince: Double? = null
         var incarnation = 0L
         var sequence = 0L
+
+        /** Its process began anew since it was last alive. */
+        var restarted = false
     }
 
     private val peers = members.associateWith { Peer(expectedS) }
     private var lastTickAt: Double? = null
     private var doubtUntil = 0.0
 
-    /** Suspicions raised and taken back, since the member was heard again without having been fenced. */
+    /** Suspicions raised and taken back: the member was heard again, by the same process and without having been fenced. */
     var falseSuspicions: Long = 0
         private set
 
@@ -82,6 +85,7 @@
         val since = peer.silentSince
         // A silence that ended by itself was usual after all, whatever it was taken for.
         if (!restarted && since != null) peer.window.add(now - since)
+        peer.restarted = peer.restarted || (restarted && peer.incarnation != 0L)
         peer.incarnation = incarnation
         peer.sequence = sequence
         peer.heardAt = now
@@ -114,8 +118,9 @@
         val silent = level >= suspectLevel
         when {
             !silent && before != Liveness.ALIVE && peer.heardAt != null -> {
-                if (before == Liveness.SUSPECTED) falseSuspicions++
-                become(peer, Liveness.ALIVE, "heard again")
+                if (before == Liveness.SUSPECTED && !peer.restarted) falseSuspicions++
+                become(peer, Liveness.ALIVE, if (peer.restarted) "heard again, restarted" else "heard again")
+                peer.restarted = false
             }
 
             silent && before == Liveness.ALIVE && !doubtsItself(now) -> {
--- a/src/test/kotlin/burlridge/failover/FailureDetectorTest.kt
+++ b/src/test/kotlin/burlridge/failover/FailureDetectorTest.kt
@@ -81,6 +81,15 @@
         assertEquals(null, detector.view("stranger", 1.2))
     }
 
+    @Test
+    fun `a restarted member was rightly suspected`() {
+        live(20.0, listOf("one", "two"))
+        live(5.0, listOf("two"))
+        assertTrue(detector.heard("one", 2, 1, now))
+        assertEquals(listOf("heard again, restarted"), detector.tick(now).map { it.reason })
+        assertEquals(0, detector.falseSuspicions)
+    }
+
     /** Failed is only what is silent and fenced: a live member that merely lost its term stays alive. */
     @Test
     fun `a suspected member is failed once its term is passed, a live one never`() {
