The member with a replica has the first try at an election; a lying change feed, a stale one and a sleeping successor in tests

Need: the successor in an election was drawn among all members, so the standby's replica was used only by luck. Change: a member that knows of a prepared one waits an eighth of a lease before it stands for election.

--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -252,6 +252,8 @@
 
     override fun onNamed(term: Long): Boolean = failover?.named(term) ?: false
 
+    override fun defersElection(): Boolean = failover?.defersElection() ?: false
+
     override fun statusOfFailover(): FailoverStatus? = failover?.status()
 
     private fun loaded(term: Long) {
--- a/src/main/kotlin/burlridge/failover/Failover.kt
+++ b/src/main/kotlin/burlridge/failover/Failover.kt
@@ -245,6 +245,11 @@
 
     fun named(term: Long): Boolean = incoming.named(term)
 
+    /** Whether a member that is alive holds a standby replica and this one does not. */
+    fun defersElection(): Boolean = replica.revision < 0 && others.any { detector.isAlive(it) && isPrepared(it) }
+
+    private fun isPrepared(other: String): Boolean = statuses[other]?.let { !it.draining && it.replicaRevision >= 0 } ?: false
+
     fun elected(cause: String) {
         incoming.drop()
         val suspected = lastSuspectedLeader
--- a/src/main/kotlin/burlridge/leadership/Leadership.kt
+++ b/src/main/kotlin/burlridge/leadership/Leadership.kt
@@ -39,6 +39,9 @@
         /** This member's own name stands in the leader's row, under a term it does not lead; true where it takes that term over as it is. */
         fun onNamed(term: Long): Boolean = false
 
+        /** Whether another member, better prepared, should have the first try at an election. */
+        fun defersElection(): Boolean = false
+
         /** What a status says beside leadership. */
         fun statusOfFailover(): FailoverStatus? = null
     }
@@ -79,6 +82,9 @@
     private var campaigning = false
     private var nextPollAt = 0.0
 
+    /** Since when this member has found no leader's row; null while there is one. */
+    private var absentSince: Double? = null
+
     /** The stamp of the leader's row that is being watched; 0 for none. */
     private var watched = 0L
     private var highestTerm = 0L
@@ -196,6 +202,7 @@
             if (leading || campaigning) return@get
             when (read) {
                 is Read.Found -> {
+                    absentSince = null
                     val name =
                         read.value.value
                             .path("member")
@@ -219,7 +226,9 @@
                 }
 
                 Read.Absent -> {
-                    campaign(0, "the leader's lease had ended")
+                    val since = absentSince ?: context.now.also { absentSince = it }
+                    val first = events.defersElection() && context.now < since + ttlS / DEFER_PART
+                    if (first) nextPollAt = since + ttlS / DEFER_PART else campaign(0, "the leader's lease had ended")
                 }
 
                 Read.Failed -> {
@@ -497,6 +506,9 @@
 
         /** How long one watch of the leader's row stays open, and within which part of its lease all look after a change. */
         private const val WATCH_TTLS = 3
+
+        /** A member that is less prepared than another waits this part of the lease before it stands for election. */
+        private const val DEFER_PART = 8
         private const val WATCH_SPREAD = 24
 
         /** The times of day of two members differ by far less than the bound for which a leader that was is remembered. */
--- a/src/test/kotlin/burlridge/failover/HandoverTest.kt
+++ b/src/test/kotlin/burlridge/failover/HandoverTest.kt
@@ -1,8 +1,11 @@
 package burlridge.failover
 
+import burlridge.core.Json
 import burlridge.core.OperatorSettings
 import burlridge.intake.JobSpec
 import burlridge.sim.World
+import com.fasterxml.jackson.databind.node.ArrayNode
+import com.fasterxml.jackson.databind.node.ObjectNode
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -167,6 +170,76 @@
         assertNotEquals(leader, world.leader())
     }
 
+    /** Guards the audit: a feed that leaves a change out looks whole by its revisions. */
+    @Test
+    fun `a change that the feed left out is found, and the replica read anew`() {
+        val world = world(11)
+        val jobs = world.load(40)
+        var left = 0
+        world.state.tamperWithChanges = { prefix, answer ->
+            val removed = answer.path("events").indexOfFirst { it.has("remove") }
+            if (prefix == "live/" && world.clock.now > 20.0 && left < 5 && removed >= 0) {
+                (answer.path("events") as ArrayNode).remove(removed)
+                left++
+            }
+        }
+        world.run(90.0)
+        assertTrue(left > 0)
+        assertTrue(world.logged("standby replica is read anew: audit of live/") > 0, world.tail())
+        world.run(160.0)
+        world.verdict(jobs)
+    }
+
+    /** Guards the proof by revision: without it a new leader takes what was known some seconds ago for all there is. */
+    @Test
+    fun `a replica that is not shown to be as far as the fence is not used`() {
+        val world = world(12)
+        val jobs = world.load(30)
+        var stale = false
+        val revisions = HashMap<String, Long>()
+        world.state.tamperWithChanges = { prefix, answer ->
+            if (stale) {
+                (answer as ObjectNode).put("ledgerRev", revisions.getValue(prefix)).putArray("events")
+            } else {
+                revisions[prefix] = answer.path("ledgerRev").asLong()
+            }
+        }
+        world.clock.after(25.0) { stale = true }
+        world.clock.after(32.0) { world.leader()?.let { world.crash(it, 3.0) } }
+        world.clock.after(45.0) { stale = false }
+        world.run(150.0)
+        assertTrue(world.logged("standby replica is not used") > 0, world.tail())
+        world.verdict(jobs)
+    }
+
+    /** Guards the age of the successor's lease: named in the rows and asleep for longer than that, it must not begin to lead. */
+    @Test
+    fun `a successor that sleeps through its lease follows whoever was elected`() {
+        for (seed in 1..5) {
+            val world = world(20 + seed)
+            val jobs = world.load(30)
+            var asleep: String? = null
+            world.meddle = { _, call ->
+                val named = Json.parseOrNull(call.body)?.path("then")?.firstOrNull { it.path("set").asText() == "leader" }
+                if (world.clock.now > 19.9 && asleep == null && named != null) {
+                    // The transfer is on its way; whom it names stands still before it can hear of it.
+                    asleep =
+                        named
+                            .path("value")
+                            .path("member")
+                            .asText()
+                            .also { world.freeze(it, 3.0 + seed) }
+                }
+                World.Fate.FINE
+            }
+            world.clock.after(20.0) { world.leader()?.let(world::drain) }
+            world.run(160.0)
+            assertNotEquals(null, asleep)
+            world.verdict(jobs)
+            assertTrue(world.logged("leads term 3") > 0, world.tail())
+        }
+    }
+
     @Test
     fun `a slow leader hands over by itself, a steady one does not`() {
         val world = world(8, OperatorSettings(failover = FailoverSettings(slowStalls = 3)))
--- a/src/test/kotlin/burlridge/sim/StateService.kt
+++ b/src/test/kotlin/burlridge/sim/StateService.kt
@@ -47,6 +47,9 @@
     private var valueBytes = 8 * 1024
     private var changesPerTransaction = 8
 
+    /** Alters the answer to a watch from a revision, for a service that does not keep its word. */
+    var tamperWithChanges: (path: String, answer: JsonNode) -> Unit = { _, _ -> }
+
     /** Transactions beyond the limits. */
     var refusedAsTooLarge = 0
         private set
@@ -275,6 +278,8 @@
                         "{\"set\":\"${it.key}\",\"value\":${it.value},\"stamp\":${it.revision}}"
                     }
                 }
-        watch.reply(200, "{\"ledgerRev\":$revision,\"events\":[$events]}")
+        val answer = Json.parse("{\"ledgerRev\":$revision,\"events\":[$events]}")
+        tamperWithChanges(watch.prefix, answer)
+        watch.reply(200, answer.toString())
     }
 }
