--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -45,7 +45,7 @@
     val work: Map<String, Long> get() = context.work
     val leads: Boolean get() = leadership.holdsLease && intake.loaded
     private val relay = Relay(context, peers)
-    private val failover = settings.operator.failover?.let { Failover(context, it, store, leadership, this) }
+    private val failover = settings.operator.failover?.let { Failover(context, it, store, leadership, TermRows.PREFIXES, this) }
     private val admin = failover?.let { AdminRequests(context, it, peers) }
     private val rows = TermRows(context, store, leadership, ledger, fleet, failover) { placeSoon() }
 
--- a/src/main/kotlin/burlridge/app/TermRows.kt
+++ b/src/main/kotlin/burlridge/app/TermRows.kt
@@ -44,7 +44,7 @@
     private fun readAll(
         term: Long,
         then: () -> Unit,
-    ) = read(Failover.REPLICATED, HashMap(), term, then)
+    ) = read(PREFIXES, HashMap(), term, then)
 
     private fun read(
         prefixes: List<String>,
@@ -122,11 +122,13 @@
         }
     }
 
-    private companion object {
-        const val OK = 200
-        const val GONE = 410
-        const val RELOAD_S = 0.5
-        const val FOLLOW_S = 10.0
-        const val FOLLOW_PAUSE_S = 0.5
+    internal companion object {
+        /** The prefixes of all rows that a new leader reads. */
+        val PREFIXES: List<String> = listOf("live/", "prog/", "round/", "rental/")
+        private const val OK = 200
+        private const val GONE = 410
+        private const val RELOAD_S = 0.5
+        private const val FOLLOW_S = 10.0
+        private const val FOLLOW_PAUSE_S = 0.5
     }
 }
--- a/src/main/kotlin/burlridge/failover/Failover.kt
+++ b/src/main/kotlin/burlridge/failover/Failover.kt
@@ -17,6 +17,8 @@
     private val settings: FailoverSettings,
     private val store: Store,
     private val leadership: Leadership,
+    /** The prefixes whose rows a new leader reads. */
+    prefixes: List<String>,
     private val controller: ControllerState,
 ) : OutgoingHandover.Port,
     IncomingHandover.Port {
@@ -39,7 +41,7 @@
         StandbyReplica(
             context,
             store,
-            REPLICATED,
+            prefixes,
             (context.settings.limits.memoryMb * BYTES_A_MB * settings.replicaPart).toLong(),
             context.settings.workers.reportS * settings.refreshReports,
         )
@@ -365,8 +367,6 @@
     }
 
     internal companion object {
-        /** The prefixes whose rows a new leader reads. */
-        val REPLICATED: List<String> = listOf("live/", "prog/", "round/", "rental/")
         private const val BYTES_A_MB = 1024 * 1024
         private const val MOST_CHANGES = 32
         private const val MOST_NAME = 40
--- /dev/null
+++ b/src/test/kotlin/burlridge/app/LeaderChangeTracerTest.kt
@@ -0,0 +1,68 @@
+package burlridge.app
+
+import burlridge.core.Effect
+import burlridge.core.Json
+import burlridge.failover.LeaderChangeEvent
+import burlridge.failover.Liveness
+import burlridge.failover.LivenessChange
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.File
+
+internal class LeaderChangeTracerTest {
+    private fun LeaderChangeTracer.at(
+        ms: Long,
+        event: LeaderChangeEvent,
+    ) = record(Effect.Trace(event, ms))
+
+    @Test
+    fun `a change of leader is one trace, from the first suspicion to the last worker`(
+        @TempDir directory: File,
+    ) {
+        val file = File(directory, "trace.jsonl")
+        val tracer = LeaderChangeTracer(file, "drover-1")
+        val suspected = LivenessChange("drover-0", Liveness.ALIVE, Liveness.SUSPECTED, "silent for 1.50 s, level 4.2")
+        tracer.at(1_000, LeaderChangeEvent.LivenessChanged(suspected))
+        tracer.at(2_000, LeaderChangeEvent.Elected(7, "the leader's lease had ended"))
+        tracer.at(2_030, LeaderChangeEvent.RowsRead(7, 120, fromReplica = true))
+        tracer.at(2_500, LeaderChangeEvent.FirstStart(7))
+        tracer.at(5_000, LeaderChangeEvent.AllWorkersAnswered(7, 40))
+        tracer.at(9_000, LeaderChangeEvent.HandoverBegan("drover-2", "it is draining"))
+        tracer.at(9_040, LeaderChangeEvent.HandoverEnded("drover-2", "done"))
+        tracer.at(9_041, LeaderChangeEvent.Deposed(7, "handed over to drover-2"))
+        val spans = file.readLines().map { Json.parse(it) }
+        assertEquals(
+            listOf("read rows" to 30L, "first start" to 500L, "leader change" to 4_000L, "handover" to 40L),
+            spans.map { it.path("name").asText() to it.path("ms").asLong() },
+        )
+        val (rows, start, change, handover) = spans
+        assertEquals(setOf(change.path("span").asText()), listOf(rows, start).map { it.path("parent").asText() }.toSet())
+        assertEquals(change.path("trace"), rows.path("trace"))
+        assertTrue(change.path("trace") != handover.path("trace"))
+        assertEquals(
+            "suspected",
+            change
+                .path("events")
+                .single()
+                .path("name")
+                .asText(),
+        )
+        assertEquals("true", rows.path("attributes").path("burlridge.from_replica").asText())
+        assertEquals("done", handover.path("attributes").path("burlridge.outcome").asText())
+    }
+
+    /** A disk that is full or read-only costs traces, never service. */
+    @Test
+    fun `a file that cannot be written is no reason to fail`(
+        @TempDir directory: File,
+    ) {
+        val tracer = LeaderChangeTracer(File(directory, "no/such/folder/trace.jsonl"), "drover-1")
+        tracer.at(1, LeaderChangeEvent.HandoverBegan("drover-2", "it is draining"))
+        tracer.at(2, LeaderChangeEvent.HandoverEnded("drover-2", "done"))
+        tracer.at(3, LeaderChangeEvent.Elected(8, "handed over by drover-0"))
+        tracer.at(4, LeaderChangeEvent.Deposed(8, "its term has been passed"))
+        assertTrue(directory.listFiles().orEmpty().isEmpty())
+    }
+}
