--- a/src/test/kotlin/burlridge/loopback/FailoverMeasurement.kt
+++ b/src/test/kotlin/burlridge/loopback/FailoverMeasurement.kt
@@ -22,19 +22,21 @@
  * The long form of [FailoverLoopbackTest], a program outside CI: real controllers on loopback among some hundreds or thousands of stand-in
  * workers, under a steady load of jobs, whose leader is lost again and again. `docs/failover.md` has the command and its figures.
  *
- * Arguments: number of machines, rounds of each kind, `on` or `off`, and, where another version is to be measured, its class path.
+ * Arguments: number of machines, rounds of each kind, `on` or `off`, number of controllers (3), and, where another version is to be
+ * measured, its class path.
  */
 internal class FailoverMeasurement(
     private val machines: Int,
     private val rounds: Int,
     private val on: Boolean,
+    controllers: Int,
     classPath: String,
     flags: List<String>,
 ) {
     private val directory: File = Files.createTempDirectory("burlridge-measurement").toFile()
     private val times = Times(reportS = 3.0, leaseS = 24.0, cancelS = 54.0)
     private val plan =
-        LoopbackPlan(CONTROLLERS, machines, times, if (on) "[failover]\n" else null, directory, flags, classPath)
+        LoopbackPlan(controllers, machines, times, if (on) "[failover]\n" else null, directory, flags, classPath)
     private val world = LoopbackWorld(plan, 1)
     private val changes = ArrayList<Change>()
     private var number = 0
@@ -136,7 +138,6 @@
     fun close() = world.close()
 
     private companion object {
-        const val CONTROLLERS = 3
         const val MOST_OF_THEM = 0.95
         const val UP_S = 240L
         const val SETTLE_MS = 6_000L
@@ -165,7 +166,9 @@
     val machines = args.getOrNull(0)?.toIntOrNull() ?: 100
     val rounds = args.getOrNull(1)?.toIntOrNull() ?: 3
     val on = args.getOrNull(2) != "off"
-    val measurement = FailoverMeasurement(machines, rounds, on, args.getOrNull(3) ?: "target/classes:target/lib/*", deployedFlags())
+    val controllers = args.getOrNull(3)?.toIntOrNull() ?: 3
+    val classPath = args.getOrNull(4) ?: "target/classes:target/lib/*"
+    val measurement = FailoverMeasurement(machines, rounds, on, controllers, classPath, deployedFlags())
     try {
         measurement.run()
     } finally {
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -9,9 +9,6 @@
 import burlridge.core.OperatorSettings
 import burlridge.core.Outcome
 import burlridge.core.Settings
-import burlridge.intake.JobSpec
-import burlridge.intake.Priority
-import burlridge.intake.Size
 import burlridge.peer.PeerMessage
 import kotlin.random.Random
 
