A picture of load: hot machines get nothing new and are relieved where that surely gains

Need: a machine that runs its tasks half as long again as others went on getting new ones, and what ran there stayed. Change: slowdown of each machine against the same jobs and classes, learned from ends and overdue runs in reports, weighted, fading, with two thresholds; nothing is concluded of machines that are not heard, nor where a quarter of the fleet looks hot. Moves through the same rows and budgets. Found by its test and mended: a task moved off a hot machine was placed there again, since its job's age counted as waiting.

--- a/src/main/kotlin/burlridge/app/BalanceText.kt
+++ b/src/main/kotlin/burlridge/app/BalanceText.kt
@@ -14,6 +14,9 @@
             report.path("machines_with_notice").takeIf { it.size() > 0 }?.let { list ->
                 appendLine("  taken back by the cloud: ${list.joinToString { it.asText() }}")
             }
+            report.path("hot_machines").properties().forEach { (machine, slowdown) ->
+                appendLine("  machine $machine is hot: its tasks take %.1f times as long as elsewhere".format(slowdown.asDouble()))
+            }
             report.path("moves").forEach { appendLine("  ${move(it)}") }
             report.path("damaged_rows").forEach { appendLine("  damaged row, left as it is: ${it.asText()}") }
         }.trimEnd()
@@ -39,6 +42,6 @@
     private fun move(move: JsonNode): String {
         val to = move.path("to").takeIf { it.isTextual }?.asText() ?: "wherever there is room"
         return "move ${move.path("time").asInt()} of ${move.path("task").asText()} run ${move.path("run").asInt()}: " +
-            "${move.path("from").asText()} to $to"
+            "${move.path("from").asText()} to $to (${move.path("reason").asText()})"
     }
 }
--- a/src/main/kotlin/burlridge/balance/Balance.kt
+++ b/src/main/kotlin/burlridge/balance/Balance.kt
@@ -4,7 +4,9 @@
 import burlridge.fleet.Fleet
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
+import burlridge.placement.KeptRoom
 import burlridge.placement.Placement
+import burlridge.placement.PlacementAdvice
 import burlridge.store.Listing
 import burlridge.store.Store
 import burlridge.worker.DrainReason
@@ -27,12 +29,13 @@
     private val settings: BalanceSettings,
     private val ports: BalancePorts,
     private val placeSoon: () -> Unit,
-) {
+) : PlacementAdvice {
     private val workers = ports.workers
     private val index = DrainIndex()
     private val drains: Drains = Drains(context, ports.store, ports.leadership, ::rebuildIndex)
     private val moves = Moves(context, settings, ports.store, ports.leadership, ports.ledger, workers)
     private val evacuation = Evacuation(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
+    private val relief = Relief(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
     private val safety = DrainSafety(context.settings, ports.ledger, workers, ports.fleet)
     private val times = context.settings.workers
     private val retentionMs = (times.leaseS * RETENTION_LEASES * MS_A_S).toLong()
@@ -43,11 +46,19 @@
     private val joined = HashSet<String>()
 
     init {
-        ports.placement.roomKeeper = moves
+        ports.placement.advice = this
         ports.fleet.isZoneDrained = index::isDrained
         workers.onSlow = { machine -> drains.request(DrainTarget.Named(machine.id), DrainCause.SLOW) {} }
+        if (settings.hotFactor > 0) {
+            workers.onHeard = relief::heard
+            workers.onRan = relief::ended
+        }
     }
 
+    override fun kept(): List<KeptRoom> = moves.kept()
+
+    override fun avoids(machine: Machine): Boolean = machine.id in relief.hot
+
     private fun rebuildIndex() {
         index.rebuild(drains.all)
         progress = emptyMap()
@@ -58,6 +69,7 @@
         drains.clear()
         moves.clear()
         evacuation.clear()
+        relief.clear()
         joined.clear()
     }
 
@@ -97,12 +109,13 @@
         if (context.now < sweepAt) return
         sweepAt = context.now + times.reportS / SWEEPS_A_REPORT
         moves.tick()
+        relief.tick()
+        if (moves.openMoves.isNotEmpty()) placeSoon()
         if (drains.isEmpty) return
         mark()
         workers.machines.values.forEach { if (it.drainReason == DrainReason.SLOW) workers.leaveSlow(it) }
         progress = if (index.isEmpty) emptyMap() else evacuation.sweep(index::covering)
         drains.all.forEach(::advance)
-        if (moves.openMoves.isNotEmpty()) placeSoon()
     }
 
     private fun advance(drain: Drain) {
@@ -153,6 +166,7 @@
             context.settings.member,
             drains.all.map { DrainReport(it, progress[it] ?: DrainProgress()) },
             noticed(),
+            relief.hot.associateWith { relief.picture.slowdown(it, context.now) },
             moves.openMoves,
             moves.spentLately,
             settings.movesPerMinute,
--- a/src/main/kotlin/burlridge/balance/BalanceReport.kt
+++ b/src/main/kotlin/burlridge/balance/BalanceReport.kt
@@ -30,6 +30,8 @@
     private val leader: String,
     private val drains: List<DrainReport>,
     private val noticed: List<String>,
+    /** Hot machines with their slowdown. */
+    private val hot: Map<String, Double>,
     private val moves: List<Move>,
     private val movedLately: Int,
     private val movesPerMinute: Int,
@@ -40,6 +42,8 @@
             put("leader", leader)
             putArray("drains").also { list -> drains.forEach { it.encode(list.addObject()) } }
             putArray("machines_with_notice").also { list -> noticed.forEach(list::add) }
+            val slowdowns = putObject("hot_machines")
+            hot.forEach { (machine, slowdown) -> slowdowns.put(machine, slowdown) }
             putArray("moves").also { list -> moves.take(MOST_MOVES).forEach { encode(it, list.addObject()) } }
             put("open_moves", moves.size)
             put("moved_lately", movedLately)
@@ -57,6 +61,7 @@
             .put("from", move.from)
             .put("to", move.to)
             .put("time", move.count)
+            .put("reason", move.reason.wire)
     }
 
     private companion object {
--- a/src/main/kotlin/burlridge/balance/BalanceSettings.kt
+++ b/src/main/kotlin/burlridge/balance/BalanceSettings.kt
@@ -43,6 +43,14 @@
     val teamMovesPerMinute: Int = 300,
     /** How often a task may be moved at the most. */
     val movesPerTask: Int = 3,
+    /** A machine is hot from this slowdown on, against the same jobs and classes elsewhere; 0 for never. */
+    val hotFactor: Double = 1.3,
+    /** It stays hot until its slowdown is below this. */
+    val coolFactor: Double = 1.15,
+    /** Whether running tasks are moved off hot machines. */
+    val relieveHot: Boolean = true,
+    /** Report intervals that such a move must gain beyond its cost. */
+    val gainReports: Double = 2.0,
 ) {
     fun permission(jobClass: String): MovePermission = classMoves[jobClass] ?: moves
 
@@ -67,6 +75,10 @@
                 "class_moves_per_minute",
                 "team_moves_per_minute",
                 "moves_per_task",
+                "hot_factor",
+                "cool_factor",
+                "relieve_hot",
+                "gain_reports",
             )
         private val BUDGETS = 0..1_000_000
 
@@ -82,7 +94,15 @@
                 classMovesPerMinute = section.whole("class_moves_per_minute", usual.classMovesPerMinute, BUDGETS),
                 teamMovesPerMinute = section.whole("team_moves_per_minute", usual.teamMovesPerMinute, BUDGETS),
                 movesPerTask = section.whole("moves_per_task", usual.movesPerTask, 0..1000),
-            )
+                hotFactor = section.number("hot_factor", usual.hotFactor, 0.0..100.0),
+                coolFactor = section.number("cool_factor", usual.coolFactor, 1.0..100.0),
+                relieveHot = section.flag("relieve_hot", usual.relieveHot),
+                gainReports = section.number("gain_reports", usual.gainReports, 0.0..1000.0),
+            ).also { read ->
+                if (read.hotFactor > 0 && read.hotFactor <= read.coolFactor) {
+                    throw SettingsError("hot_factor in [$SECTION] must be 0 or above cool_factor, not ${read.hotFactor}")
+                }
+            }
         }
 
         /** `alarm-triage:never, poster-sweep:repeat` */
--- a/src/main/kotlin/burlridge/balance/Move.kt
+++ b/src/main/kotlin/burlridge/balance/Move.kt
@@ -4,6 +4,21 @@
 import burlridge.store.Row
 import com.fasterxml.jackson.databind.JsonNode
 
+/** Why a task is moved. */
+internal enum class MoveReason(
+    val wire: String,
+) {
+    DRAIN("drain"),
+
+    /** The machine is hot, and the task surely ends sooner elsewhere. */
+    HOT("hot"),
+    ;
+
+    internal companion object {
+        fun of(wire: String): MoveReason? = entries.firstOrNull { it.wire == wire }
+    }
+}
+
 /** The intent to stop one run of a task, or of a whole gang, so that it goes on elsewhere: job, task and run number are its key. */
 internal data class Move(
     val job: String,
@@ -18,6 +33,7 @@
     val count: Int,
     /** How many tasks it stops. */
     val tasks: Int,
+    val reason: MoveReason = MoveReason.DRAIN,
 ) {
     val taskName: String get() = "$job/$task"
     val isGang: Boolean get() = task == WHOLE_GANG
@@ -55,6 +71,7 @@
                         .add(it.to)
                         .add(it.count)
                         .add(it.tasks)
+                        .add(it.reason.wire)
                 }
             }
         }
@@ -87,8 +104,9 @@
             val numbers = listOf(entry.path(0), entry.path(1), entry.path(4), entry.path(5))
             if (numbers.any { !it.isInt } || !entry.path(2).isTextual) return null
             val (task, run, count, tasks) = numbers.map { it.asInt() }
+            val reason = MoveReason.of(entry.path(6).asText()) ?: return null
             val to = entry.path(3).takeIf { it.isTextual }?.asText()
-            return Move(job, task, run, team, jobClass, entry.path(2).asText(), to, count, tasks)
+            return Move(job, task, run, team, jobClass, entry.path(2).asText(), to, count, tasks, reason)
                 .takeIf { task >= Move.WHOLE_GANG && run > 0 && count > 0 && tasks > 0 }
         }
     }
--- a/src/main/kotlin/burlridge/balance/Moves.kt
+++ b/src/main/kotlin/burlridge/balance/Moves.kt
@@ -8,7 +8,6 @@
 import burlridge.intent.Standing
 import burlridge.leadership.Leadership
 import burlridge.placement.KeptRoom
-import burlridge.placement.RoomKeeper
 import burlridge.store.Change
 import burlridge.store.Condition
 import burlridge.store.Row
@@ -29,7 +28,7 @@
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val workers: Workers,
-) : RoomKeeper {
+) {
     private class Open(
         val move: Move,
         val batch: MoveBatch,
@@ -199,7 +198,7 @@
     }
 
     /** The drain that it was planned for was called off before its stop was sent. */
-    private fun isPutBack(move: Move): Boolean = workers.machines[move.from]?.draining == false
+    private fun isPutBack(move: Move): Boolean = move.reason == MoveReason.DRAIN && workers.machines[move.from]?.draining == false
 
     private fun mayKeepRoom(open: Open): Boolean {
         val machine = open.move.to?.let { workers.machines[it] } ?: return false
@@ -208,7 +207,7 @@
     }
 
     /** Both places count for room, limits and zones while the task may be on the first. */
-    override fun kept(): List<KeptRoom> =
+    fun kept(): List<KeptRoom> =
         open.values.mapNotNull { open ->
             val job = ledger.jobs[open.move.job]?.takeIf { it.ending == null && !open.move.isGang } ?: return@mapNotNull null
             val machine =
--- /dev/null
+++ b/src/main/kotlin/burlridge/balance/Relief.kt
@@ -0,0 +1,175 @@
+package burlridge.balance
+
+import burlridge.core.Context
+import burlridge.intent.Claim
+import burlridge.intent.Job
+import burlridge.intent.Ledger
+import burlridge.intent.Phase
+import burlridge.placement.MoveTargets
+import burlridge.worker.Machine
+import burlridge.worker.Workers
+
+/** What a move costs and gains, in seconds until the task's end. */
+internal data class MoveGain(
+    /** Work that is left, in seconds on a machine of the usual pace. */
+    val leftS: Double,
+    /** How many times as long it takes where it is. */
+    val slowdown: Double,
+    /** Work that is done again. */
+    val lostS: Double,
+    val saveS: Double,
+    val fetchS: Double,
+    /** Until the stop is proven and the start has arrived. */
+    val changeS: Double,
+) {
+    /** The slowdown is an estimate: only a part of it is sure. */
+    val gainS: Double get() = leftS * (slowdown - 1.0) * SURE_PART - costS
+    val costS: Double get() = lostS + saveS + fetchS + changeS
+
+    private companion object {
+        const val SURE_PART = 0.7
+    }
+}
+
+/**
+ * Keeps new work off hot machines, and empties part of their room where that surely gains: one task of a machine at a time, the one that
+ * gains most, onto a machine that is not hot. Where much of the fleet looks hot, or is not heard, the picture is wrong and nothing is done.
+ */
+internal class Relief(
+    private val context: Context,
+    private val settings: BalanceSettings,
+    private val ledger: Ledger,
+    private val workers: Workers,
+    private val moves: Moves,
+    private val targets: () -> MoveTargets,
+) {
+    private val times = context.settings.workers
+    val picture: LoadPicture = LoadPicture(settings, minOf(times.leaseS, LONGEST_HALF_LIFE_S))
+    private var judgeAt = 0.0
+
+    /** Machines that get nothing new, by name; empty where the picture is not to be relied on. */
+    var hot: Set<String> = emptySet()
+        private set
+
+    fun clear() {
+        picture.clear()
+        hot = emptySet()
+    }
+
+    /** A fresh report of [machine] has been taken over. */
+    fun heard(machine: Machine) {
+        for (claim in ledger.claims.byMachine[machine.id]
+            ?.values
+            .orEmpty()) {
+            val since = claim.startedAt?.takeIf { claim.phase == Phase.RUNNING } ?: continue
+            val job = ledger.jobs[claim.job] ?: continue
+            picture.runs(machine.id, job, machine.lastReportAt - since, context.now)
+        }
+    }
+
+    fun ended(
+        machine: Machine,
+        job: Job,
+        ranS: Double,
+    ) = picture.ended(machine.id, job, ranS, context.now)
+
+    fun tick() {
+        if (settings.hotFactor <= 0.0 || context.now < judgeAt) return
+        judgeAt = context.now + times.reportS / 2
+        picture.keepOnly(workers.machines.keys)
+        val before = hot
+        hot = judge()
+        (hot - before).forEach { id ->
+            context.count("balance.hot_marks")
+            context.infoRateLimited(
+                "hot machines",
+                "machine $id is hot: its tasks take %.1f times as long".format(picture.slowdown(id, context.now)),
+            )
+        }
+        if (hot.isNotEmpty() && settings.relieveHot && !moves.writing) relieve()
+    }
+
+    private fun judge(): Set<String> {
+        val up = workers.machines.values.filter { it.up && !it.lapsed && !it.draining }
+        val loads = up.associateWith { picture.load(it, workers.silent(it) || !it.hears, context.now) }
+        val hotOnes = loads.filterValues { it == Load.HOT }.keys
+        val unheard = up.count { workers.silent(it) || !it.hears }
+        val isWrong = hotOnes.size > maxOf(1.0, up.size * MOST_HOT) || unheard > up.size * MOST_UNHEARD
+        return if (isWrong) emptySet() else hotOnes.mapTo(HashSet()) { it.id }
+    }
+
+    private fun relieve() {
+        val room by lazy(LazyThreadSafetyMode.NONE) { targets() }
+        val planned = ArrayList<Move>()
+        for (id in hot) {
+            if (planned.size >= moves.mostPerRow) break
+            val machine = workers.machines[id] ?: continue
+            val (job, claim) = mostGaining(machine) ?: continue
+            val spec = job.spec
+            val count = moves.countOf(claim.taskName) + 1
+            val move = Move(claim.job, claim.task, claim.run, spec.team, spec.jobClass, id, null, count, 1, MoveReason.HOT)
+            if (count > settings.movesPerTask || !moves.permits(move)) continue
+            val target = room.take(job, claim) { candidate -> isWorth(job, claim, machine, candidate) } ?: continue
+            moves.spend(move)
+            planned += move.copy(to = target.id)
+        }
+        if (planned.isNotEmpty()) moves.plan(planned)
+    }
+
+    private fun mostGaining(machine: Machine): Pair<Job, Claim>? =
+        ledger.claims.byMachine[machine.id]
+            ?.values
+            .orEmpty()
+            .mapNotNull { claim -> ledger.jobs[claim.job]?.takeIf { mayMove(it, claim) }?.let { it to claim } }
+            .maxByOrNull { (job, claim) -> gain(job, claim, machine, fetchS = 0.0)?.gainS ?: Double.NEGATIVE_INFINITY }
+            ?.takeIf { (job, claim) -> (gain(job, claim, machine, fetchS = 0.0)?.gainS ?: 0.0) > leastGainS }
+
+    private val leastGainS = settings.gainReports * times.reportS
+
+    private fun mayMove(
+        job: Job,
+        claim: Claim,
+    ): Boolean {
+        if (job.spec.gang || job.ending != null || claim.phase != Phase.RUNNING || claim.stopGraceS != null) return false
+        if (moves.isOpen(claim.taskName)) return false
+        return when (settings.permission(job.spec.jobClass)) {
+            MovePermission.NEVER -> false
+            MovePermission.SAVED -> job.spec.checkpointS > 0
+            MovePermission.REPEAT -> true
+        }
+    }
+
+    private fun isWorth(
+        job: Job,
+        claim: Claim,
+        from: Machine,
+        to: MoveTargets.Candidate,
+    ): Boolean {
+        if (to.machine.id in hot || picture.slowdown(to.machine.id, context.now) > settings.coolFactor) return false
+        return (gain(job, claim, from, to.fetchS)?.gainS ?: 0.0) > leastGainS
+    }
+
+    private fun gain(
+        job: Job,
+        claim: Claim,
+        machine: Machine,
+        fetchS: Double,
+    ): MoveGain? {
+        val expectedS = picture.expectedRunS(job) ?: return null
+        val ranS = context.now - (claim.startedAt ?: return null)
+        val slowdown = picture.slowdown(machine.id, context.now)
+        // One that should be over by now may end at any moment: nothing is sure to be gained.
+        val leftS = (expectedS - ranS / slowdown).takeIf { it > 0.0 } ?: return null
+        val saves = job.spec.checkpointS > 0
+        return MoveGain(leftS, slowdown, if (saves) 0.0 else ranS, if (saves) job.spec.saveS else 0.0, fetchS, times.reportS / 2)
+    }
+
+    private companion object {
+        /** Where more of the fleet than this looks hot, or is not heard, the picture is wrong. */
+        const val MOST_HOT = 0.25
+        const val MOST_UNHEARD = 0.5
+
+        /** A mark must fade well before the 90 s within which a job gets what room there is. */
+        const val LONGEST_HALF_LIFE_S = 20.0
+    }
+}
--- a/src/main/kotlin/burlridge/core/IniSection.kt
+++ b/src/main/kotlin/burlridge/core/IniSection.kt
@@ -14,6 +14,14 @@
             if (it.isEmpty()) throw SettingsError("$key in [$name] is empty")
         }
 
+    fun flag(
+        key: String,
+        usual: Boolean,
+    ): Boolean {
+        val text = text(key) ?: return usual
+        return text.toBooleanStrictOrNull() ?: throw SettingsError("$key in [$name] must be true or false, not \"$text\"")
+    }
+
     fun whole(
         key: String,
         usual: Int,
--- a/src/main/kotlin/burlridge/intent/Claims.kt
+++ b/src/main/kotlin/burlridge/intent/Claims.kt
@@ -207,6 +207,7 @@
         jobs[claim.job]?.let { job ->
             job.claims.put(claim.task, claim)
             job.taken.set(claim.task)
+            job.claimedAt = context.now
             job.note(claim)
         }
         byMachine.getOrPut(claim.machine) { LinkedHashMap() }[claim.taskName] = claim
--- a/src/main/kotlin/burlridge/intent/Job.kt
+++ b/src/main/kotlin/burlridge/intent/Job.kt
@@ -37,6 +37,9 @@
     var highestRun: Int = 0
     val notBefore: Int2DoubleOpenHashMap = Int2DoubleOpenHashMap()
 
+    /** When a task of it was last claimed, in this leader's time; null where none was. */
+    var claimedAt: Double? = null
+
     /** Set while the claims of a broken attempt are let go. */
     var breaking: Boolean = false
     val whenOver: ArrayList<(Standing) -> Unit> = ArrayList()
--- a/src/main/kotlin/burlridge/placement/KeptRoom.kt
+++ b/src/main/kotlin/burlridge/placement/KeptRoom.kt
@@ -10,7 +10,11 @@
     val machine: Machine,
 )
 
-/** Knows for which tasks room is kept; placement gives it to nobody else. */
-internal fun interface RoomKeeper {
+/** What placement is told by those who balance load; where nobody does, nothing is kept and no machine avoided. */
+internal interface PlacementAdvice {
+    /** For which tasks room is kept; it is given to nobody else. */
     fun kept(): List<KeptRoom>
+
+    /** Whether [machine] gets nothing new but what would else wait too long. */
+    fun avoids(machine: Machine): Boolean
 }
--- a/src/main/kotlin/burlridge/placement/MoveTargets.kt
+++ b/src/main/kotlin/burlridge/placement/MoveTargets.kt
@@ -9,10 +9,20 @@
     private val plan: PlacementPlan,
     private val fit: Fit,
 ) {
-    /** A machine with room for the task of [claim], the smallest type first; null where there is none, or its team's limit is in the way. */
+    /** A machine with room, and how long it takes there to fetch the image. */
+    class Candidate(
+        val machine: Machine,
+        val fetchS: Double,
+    )
+
+    /**
+     * A machine with room for the task of [claim] that [suits], the smallest type first; null where there is none, or its team's limit is
+     * in the way.
+     */
     fun take(
         job: Job,
         claim: Claim,
+        suits: (Candidate) -> Boolean = { true },
     ): Machine? {
         val spec = job.spec
         // The task counts in both places until it is gone from where it is.
@@ -21,13 +31,19 @@
         val zones = plan.zonesOf(job)
         for (group in plan.poolsFor(spec).groupBy { it.first.type }.values) {
             val rooms =
-                group.flatMapTo(
-                    ArrayList(),
-                ) { pool -> pool.rooms.filter { spec.size.fits(it.free) && it.machine.id != claim.machine } }
+                group
+                    .flatMap { it.rooms }
+                    .filterTo(ArrayList()) { isRoom(it, job, claim) && suits(Candidate(it.machine, fit.fetchS(it.machine, spec))) }
             val room = fit.sample(rooms, spec, zones) ?: continue
             plan.keep(KeptRoom(job, claim.task, room.machine))
             return room.machine
         }
         return null
     }
+
+    private fun isRoom(
+        room: Room,
+        job: Job,
+        claim: Claim,
+    ): Boolean = !room.avoided && room.machine.id != claim.machine && job.spec.size.fits(room.free)
 }
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -33,8 +33,8 @@
     private val fit = Fit(context, fleet)
     private val gangs = GangPlacement(context, workers, fleet, fit)
 
-    /** Null where no room is ever kept for a task that moves. */
-    var roomKeeper: RoomKeeper? = null
+    /** Null where nobody balances load. */
+    var advice: PlacementAdvice? = null
 
     /** One round: as many waiting tasks as there is room for and one row holds. */
     fun round() {
@@ -68,7 +68,7 @@
 
     private fun newPlan(): PlacementPlan {
         val plan = PlacementPlan(pools(), HashMap(ledger.claims.used))
-        roomKeeper?.kept()?.forEach(plan::keep)
+        advice?.kept()?.forEach(plan::keep)
         return plan
     }
 
@@ -107,7 +107,7 @@
             val free = free(machine, whole)
             val pool = pools.getOrPut(Offer(machine.type, machine.zone, machine.spot)) { Pool(whole, machine) }
             pool.machines++
-            if (free.cpus > 0 && free.memoryGb > 0) pool.rooms += Room(machine, whole, free)
+            if (free.cpus > 0 && free.memoryGb > 0) pool.rooms += Room(machine, whole, free, advice?.avoids(machine) ?: false)
         }
         return pools.values.sortedWith(compareBy({ it.whole.gpus }, { it.whole.cpus }, { it.whole.memoryGb }, { !it.first.spot }))
     }
@@ -195,23 +195,31 @@
         val pools = plan.poolsFor(spec)
         // The design samples blindly; where time presses, a fetch is too much of it while another machine holds the image.
         if (presses(spec, pools)) {
-            val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && spec.size.fits(it.free) } }
+            val holders = pools.flatMap { pool -> pool.rooms.filter { spec.image in it.machine.images && mayTake(job, it) } }
             task = fill(job, task, holders, zones, plan)
         }
         // Where idle machines are returned, the dear ones of a type are filled last, so that they are the ones that go.
         for (group in pools.groupBy { it.first.type to (fleet.returnsIdle && it.first.spot) }.values) {
             if (task < 0) return
             context.count("placement.candidates", group.sumOf { it.rooms.size })
-            task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { spec.size.fits(it.free) } }, zones, plan)
+            task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { mayTake(job, it) } }, zones, plan)
         }
         val stopped = plan.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, plan.used(spec.team) + spec.size)
-        if (task >= 0 && !stopped && !spec.oneZone &&
-            !spec.spread
-        ) {
+        // Where room was left aside for a while, another that has waited longer may still take it.
+        val tookAll = takesAvoided(job) || pools.none { pool -> pool.rooms.any { it.avoided } }
+        if (task >= 0 && !stopped && tookAll && !spec.oneZone && !spec.spread) {
             plan.unplaceable += ResourceRequest(spec.types, spec.zone, spec.spot, spec.size)
         }
     }
 
+    /** What has waited for half of the time within which a job gets what room there is also takes room that is avoided. */
+    private fun takesAvoided(job: Job): Boolean = (job.claimedAt?.let { context.now - it } ?: ageS(job)) > MUST_HAVE_ROOM_S / 2
+
+    private fun mayTake(
+        job: Job,
+        room: Room,
+    ): Boolean = job.spec.size.fits(room.free) && (!room.avoided || takesAvoided(job))
+
     private fun presses(
         spec: JobSpec,
         pools: List<Pool>,
@@ -289,6 +297,9 @@
         const val MUST_BEGIN_S = 240.0
         const val TURNS_OF_TIMELY = 3
 
+        /** By the protocol no job waits longer than this beside room that it may use. */
+        const val MUST_HAVE_ROOM_S = 90.0
+
         /** Rounds whose row is still being written; the tasks that gather meanwhile share the next. */
         const val MOST_OPEN_ROUNDS = 3
     }
--- a/src/main/kotlin/burlridge/placement/PlacementPlan.kt
+++ b/src/main/kotlin/burlridge/placement/PlacementPlan.kt
@@ -11,6 +11,8 @@
     val machine: Machine,
     val whole: Size,
     var free: Size,
+    /** Only for what would else wait too long. */
+    val avoided: Boolean = false,
 ) {
     /** How many tasks of [size] find room. */
     fun seats(size: Size): Int = free.holds(size)
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -31,6 +31,12 @@
     /** Told of each machine that is left for being slow. */
     var onSlow: (Machine) -> Unit = {}
 
+    /** Told of each report that was taken over. */
+    var onHeard: (Machine) -> Unit = {}
+
+    /** Told of each task that was seen to start and has run to its end, with its seconds. */
+    var onRan: (Machine, Job, Double) -> Unit = { _, _, _ -> }
+
     private val times = context.settings.workers
     val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
     private var tokens = 0L
@@ -156,6 +162,7 @@
 
     private fun reconcileAndAnswer(machine: Machine): List<WorkerCommand> {
         reconcile(machine)
+        onHeard(machine)
         val due = reconciler.stops(machine) + reconciler.removals(machine)
         onChange()
         return due
@@ -306,6 +313,7 @@
                 claim.startedAt?.let {
                     job.ranS += context.now - it
                     job.ran++
+                    onRan(machine, job, context.now - it)
                 }
                 remember(machine, job.spec)
                 ledger.markDone(job, claim.task)
--- a/src/test/kotlin/burlridge/balance/BalanceInputTest.kt
+++ b/src/test/kotlin/burlridge/balance/BalanceInputTest.kt
@@ -45,6 +45,8 @@
                 "moves_per_task = 1.5" to "moves_per_task in [balance] must be a whole number",
                 "finish_reports = NaN" to "finish_reports in [balance]",
                 "keep_leases = 0" to "keep_leases in [balance]",
+                "hot_factor = 1.1" to "hot_factor in [balance] must be 0 or above cool_factor",
+                "relieve_hot = perhaps" to "relieve_hot in [balance] must be true or false",
                 "room_leases = 1e9" to "room_leases in [balance]",
             )
         for ((line, complaint) in wrong) {
@@ -128,7 +130,9 @@
         badDrains.forEach { assertEquals(null, Drain.decode(Row("drain/zone/a", Json.parse(it), 9)), it) }
         val badMoves =
             listOf("null", """{"at":1}""", """{"at":1,"jobs":[]}""", """{"at":1,"jobs":{"j-1":["t","c",[[0,0,"m",null,1,1]]]}}""") +
-                listOf("[0,1]", "[-2,1,\"m\",null,1,1]", "[0,1,7,null,1,1]", "7").map { """{"at":1,"jobs":{"j-1":["t","c",[$it]]}}""" }
+                listOf("[0,1]", "[-2,1,\"m\",null,1,1,\"hot\"]", "[0,1,7,null,1,1,\"hot\"]", "[0,1,\"m\",null,1,1,\"whim\"]", "7").map {
+                    """{"at":1,"jobs":{"j-1":["t","c",[$it]]}}"""
+                }
         badMoves.forEach { assertEquals(null, MoveBatch.decode(Row("move/1-0", Json.parse(it), 9)), it) }
     }
 
--- a/src/test/kotlin/burlridge/balance/Operators.kt
+++ b/src/test/kotlin/burlridge/balance/Operators.kt
@@ -5,6 +5,7 @@
 import burlridge.failover.FailoverSettings
 import burlridge.intake.JobSpec
 import burlridge.sim.History
+import burlridge.sim.TypeSpec
 import burlridge.sim.World
 import burlridge.sim.job
 import burlridge.sim.submit
@@ -27,8 +28,9 @@
     settings: BalanceSettings = EAGER,
     members: Int = 3,
     failover: Boolean = false,
+    types: Map<String, TypeSpec> = mapOf("small" to TypeSpec(4.0, 16.0, 6), "big" to TypeSpec(16.0, 64.0, 3)),
     operatorOf: (String) -> OperatorSettings = { balanced(settings, failover) },
-) = World(seed, members = (0 until members).map { "drover-$it" }, guaranteed = 0.0, operatorOf = operatorOf)
+) = World(seed, members = (0 until members).map { "drover-$it" }, types = types, guaranteed = 0.0, operatorOf = operatorOf)
 
 /** A job whose tasks save their progress when they are stopped. */
 internal fun World.savingJob(
--- /dev/null
+++ b/src/test/kotlin/burlridge/balance/ReliefTest.kt
@@ -0,0 +1,167 @@
+package burlridge.balance
+
+import burlridge.intake.JobSpec
+import burlridge.intent.Job
+import burlridge.sim.TypeSpec
+import burlridge.sim.World
+import burlridge.sim.job
+import burlridge.worker.Machine
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** The picture of load, and what is done about machines that run hot. */
+internal class ReliefTest {
+    private val settings = BalanceSettings()
+    private val machine = Machine("m-1", 0.0)
+
+    private fun job(): Job = Job(World(0).job(1, 10, runS = 10.0), 1, 0).also { it.ranS = 40.0 }.also { it.ran = 4 }
+
+    private fun LoadPicture.at(
+        now: Double,
+        silent: Boolean = false,
+    ) = load(machine, silent, now)
+
+    /** Guards the two thresholds: one that hovers between them keeps the mark it has. */
+    @Test
+    fun `a machine becomes hot above one threshold and stays so until below another`() {
+        val picture = LoadPicture(settings, halfLifeS = 20.0)
+        val job = job()
+        assertEquals(Load.UNKNOWN, picture.at(0.0))
+        repeat(2) { picture.ended("m-1", job, 20.0, 1.0) }
+        assertEquals(Load.UNKNOWN, picture.at(1.0), "two samples say nothing")
+        picture.ended("m-1", job, 20.0, 2.0)
+        assertEquals(Load.HOT, picture.at(2.0))
+        assertEquals(Load.UNKNOWN, picture.at(2.0, silent = true), "a silent machine is neither idle nor hot")
+        while (picture.slowdown("m-1", 3.0) > 1.25) picture.ended("m-1", job, 11.0, 3.0)
+        assertEquals(Load.HOT, picture.at(3.0))
+        while (picture.slowdown("m-1", 4.0) > 1.14) picture.ended("m-1", job, 10.0, 4.0)
+        assertEquals(Load.NORMAL, picture.at(4.0))
+        repeat(3) { picture.ended("m-1", job, 12.5, 5.0) }
+        assertEquals(Load.NORMAL, picture.at(5.0))
+    }
+
+    /** Guards the end of a mark: nothing new may be learned of a machine that gets nothing new. */
+    @Test
+    fun `a mark fades within the time after which a job must get what room there is`() {
+        val picture = LoadPicture(settings, halfLifeS = 20.0)
+        repeat(50) { picture.ended("m-1", job(), 1000.0, 1.0) }
+        assertEquals(Load.HOT, picture.at(2.0))
+        assertEquals(Load.NORMAL, picture.at(90.0))
+    }
+
+    @Test
+    fun `absurd times teach nothing, and what is kept is bounded`() {
+        val picture = LoadPicture(settings, halfLifeS = 20.0)
+        listOf(Double.NaN, -5.0, 0.0, Double.POSITIVE_INFINITY, 1e9).forEach { wrong ->
+            picture.ended("m-1", job(), wrong, 1.0)
+            picture.runs("m-1", job(), wrong, 1.0)
+        }
+        assertEquals(0, picture.samples)
+        repeat(4000) { picture.ended("m-$it", job(), 10.0, 1.0) }
+        assertTrue(picture.sizeBytes < 1_000_000, "${picture.sizeBytes} bytes at 4,000 machines")
+        picture.keepOnly(setOf("m-1"))
+        assertTrue(picture.sizeBytes < 1_000, "${picture.sizeBytes} bytes")
+    }
+
+    @Test
+    fun `a move must gain more than it surely costs`() {
+        val gains = MoveGain(leftS = 60.0, slowdown = 2.0, lostS = 0.0, saveS = 2.0, fetchS = 5.0, changeS = 1.5)
+        assertEquals(60.0 * 0.7 - 8.5, gains.gainS, 1e-9)
+        assertTrue(gains.copy(lostS = 50.0).gainS < 0 && gains.copy(slowdown = 1.0).gainS < 0 && gains.copy(leftS = 5.0).gainS < 0)
+    }
+
+    /** Short tasks by which the pace is learned beside long ones; [hot] of the machines that run both are slow from then on. */
+    private fun World.warm(
+        slowness: Double,
+        hot: Int,
+    ): Pair<Set<String>, List<JobSpec>> {
+        val short = submitAll((0 until 90).map { savingJob(it, 6, runS = 4.0) }, 15.0, everyS = 0.5)
+        val long = submitAll((100 until 124).map { savingJob(it, 2, runS = 90.0) }, 15.1, everyS = 0.3)
+        run(23.0)
+        val machinesOf = { jobs: List<JobSpec> ->
+            history.starts.filter { start -> jobs.any { start.task.startsWith(it.id) } }.mapTo(LinkedHashSet()) { it.machine }
+        }
+        val slow = (machinesOf(long) intersect machinesOf(short)).take(hot)
+        assertTrue(slow.isNotEmpty())
+        slow.forEach { cloud.worker(it)?.slowness = slowness }
+        return slow.toSet() to short + long
+    }
+
+    private fun World.movedFor(reason: MoveReason): List<Pair<String, String>> =
+        state.keys(MoveBatch.PREFIX).flatMap { key ->
+            state.value(key)?.path("jobs")?.flatMap { it.path(2).toList() }.orEmpty().filter { it.path(6).asText() == reason.wire }.map {
+                it.path(2).asText() to it.path(3).asText()
+            }
+        }
+
+    @Test
+    fun `a hot machine gets nothing new and is relieved, whoever leads`() {
+        for (seed in 1..4) {
+            val small = mapOf("small" to TypeSpec(4.0, 16.0, 6))
+            val world = balancedWorld(seed, BalanceSettings(), if (seed % 2 == 0) 5 else 3, failover = seed % 2 == 0, types = small)
+            val (slow, jobs) = world.warm(slowness = 1.55, hot = 2)
+            while (world.clock.now < 60.0 && world.movedFor(MoveReason.HOT).isEmpty()) world.run(world.clock.now + 0.5)
+            val report = world.report()
+            val hot =
+                report
+                    .path("hot_machines")
+                    .fieldNames()
+                    .asSequence()
+                    .toSet()
+            assertTrue(hot.isNotEmpty() && slow.containsAll(hot), "$hot of $slow\n${world.tail()}")
+            val moves = world.movedFor(MoveReason.HOT)
+            assertTrue(moves.isNotEmpty(), "nothing was moved: $report\n${world.tail()}")
+            assertTrue(moves.all { (from, to) -> from in slow && to !in slow }, moves.toString())
+            world.crash(world.leader() ?: "drover-0", 4.0)
+            world.run(240.0)
+            world.verdict(jobs, BalanceSettings())
+            val places = world.history.starts.groupBy({ it.task }, { it.machine })
+            assertTrue(
+                places.values.all {
+                    it.distinct().size == it.size
+                },
+                "moved back and forth: ${places.filterValues { it.distinct().size < it.size }}",
+            )
+        }
+    }
+
+    /** Guards the two bounds of the picture: a fleet that is slow throughout, and half of it unheard, tells nothing of any machine. */
+    @Test
+    fun `where much of the fleet looks hot, or a zone is cut off, nothing is moved for it`() {
+        val world = balancedWorld(5, BalanceSettings())
+        val (_, jobs) = world.warm(slowness = 1.5, hot = 1)
+        world.cloud.names().forEach { world.cloud.worker(it)?.slowness = 1.5 }
+        world.run(60.0)
+        assertEquals(emptyList<Any>(), world.movedFor(MoveReason.HOT))
+        assertEquals(0, world.report().path("hot_machines").size())
+        world.run(240.0)
+        world.verdict(jobs, BalanceSettings())
+
+        val cut = balancedWorld(6, BalanceSettings())
+        val (_, others) = cut.warm(slowness = 1.55, hot = 2)
+        cut.run(36.0)
+        val zone = cut.cloud.names().filter { cut.cloud.worker(it)?.zone == "b" }
+        zone.forEach { machine -> cut.members.forEach { cut.cut(machine, it, 30.0) } }
+        cut.run(60.0)
+        assertTrue(cut.movedFor(MoveReason.HOT).none { it.second in zone }, cut.movedFor(MoveReason.HOT).toString())
+        cut.run(260.0)
+        cut.verdict(others, BalanceSettings())
+    }
+
+    /** Guards the room that is left for those who have nothing else: a mark must never keep a job waiting. */
+    @Test
+    fun `a job that fits nowhere else gets the hot machine in time`() {
+        val world = balancedWorld(7, BalanceSettings(relieveHot = false))
+        val (slow, jobs) = world.warm(slowness = 1.5, hot = 1)
+        val other = world.cloud.names().filter { it !in slow }
+        // All others are full for long.
+        val full = world.submitAll((200 until 230).map { world.savingJob(it, 12, runS = 200.0) }, 37.0, everyS = 0.1)
+        world.run(320.0)
+        assertTrue(other.isNotEmpty())
+        assertEquals(emptyList<String>(), world.rules.broken, world.tail())
+        assertTrue(world.history.starts.any { it.machine in slow && it.at > 60.0 }, "it was never used again")
+        world.run(700.0)
+        world.verdict(jobs + full, BalanceSettings())
+    }
+}
--- a/src/test/kotlin/burlridge/loopback/LoopbackWorld.kt
+++ b/src/test/kotlin/burlridge/loopback/LoopbackWorld.kt
@@ -88,6 +88,7 @@
             firstStarts.putIfAbsent(worker.term, clock.now)
         }
         rules.onEnd = { task, worker -> history.ended(task, worker.id, clock.now) }
+        rules.onStop = { task -> history.stopped(task, clock.now) }
         cloud.bootS = { random.nextDouble() }
         Thread({ runLoop() }, "stand-ins").also { it.isDaemon = true }.start()
         controllers.forEach { it.start() }
