Slow start of machines that join, and nearness that counts fetches under way

Need: a machine that joins in a burst was filled at once. Change: until it has been there for five report intervals it gets four starts, then twice as many as are seen to run; judged by the cloud's list and the last report, so that the next leader does alike. Gangs and classes with an aim for starting are exempt. What reports say of tasks moved from Workers to TaskOutcomes. New tests for guards that none had caught: a drain's own stamp, a drain not called over too soon, the row of a slow machine.

--- a/src/main/kotlin/burlridge/balance/Balance.kt
+++ b/src/main/kotlin/burlridge/balance/Balance.kt
@@ -2,6 +2,7 @@
 
 import burlridge.core.Context
 import burlridge.fleet.Fleet
+import burlridge.intake.JobSpec
 import burlridge.intent.Ledger
 import burlridge.leadership.Leadership
 import burlridge.placement.KeptRoom
@@ -36,6 +37,13 @@
     private val moves = Moves(context, settings, ports.store, ports.leadership, ports.ledger, workers)
     private val evacuation = Evacuation(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
     private val relief = Relief(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
+    private val slowStart =
+        SlowStart(context, settings, ports.ledger) { type ->
+            ports.fleet.catalog
+                ?.types
+                ?.get(type)
+                ?.bootS ?: 0.0
+        }
     private val safety = DrainSafety(context.settings, ports.ledger, workers, ports.fleet)
     private val times = context.settings.workers
     private val retentionMs = (times.leaseS * RETENTION_LEASES * MS_A_S).toLong()
@@ -51,7 +59,7 @@
         workers.onSlow = { machine -> drains.request(DrainTarget.Named(machine.id), DrainCause.SLOW) {} }
         if (settings.hotFactor > 0) {
             workers.onHeard = relief::heard
-            workers.onRan = relief::ended
+            workers.outcomes.onRan = relief::ended
         }
     }
 
@@ -59,6 +67,14 @@
 
     override fun avoids(machine: Machine): Boolean = machine.id in relief.hot
 
+    override fun startsLeft(machine: Machine): Int = slowStart.startsLeft(machine)
+
+    override fun fetchS(
+        machine: Machine,
+        spec: JobSpec,
+        aloneS: Double,
+    ): Double = if (settings.coldReports > 0) slowStart.fetchS(machine, spec, aloneS) else aloneS
+
     private fun rebuildIndex() {
         index.rebuild(drains.all)
         progress = emptyMap()
--- a/src/main/kotlin/burlridge/balance/BalanceSettings.kt
+++ b/src/main/kotlin/burlridge/balance/BalanceSettings.kt
@@ -51,6 +51,10 @@
     val relieveHot: Boolean = true,
     /** Report intervals that such a move must gain beyond its cost. */
     val gainReports: Double = 2.0,
+    /** Report intervals for which a machine that has joined, or whose worker began anew, is limited; 0 for never. */
+    val coldReports: Double = 5.0,
+    /** Starts that such a machine may get before any is seen to run; later twice as many as run. */
+    val coldStarts: Int = 4,
 ) {
     fun permission(jobClass: String): MovePermission = classMoves[jobClass] ?: moves
 
@@ -79,6 +83,8 @@
                 "cool_factor",
                 "relieve_hot",
                 "gain_reports",
+                "cold_reports",
+                "cold_starts",
             )
         private val BUDGETS = 0..1_000_000
 
@@ -98,6 +104,8 @@
                 coolFactor = section.number("cool_factor", usual.coolFactor, 1.0..100.0),
                 relieveHot = section.flag("relieve_hot", usual.relieveHot),
                 gainReports = section.number("gain_reports", usual.gainReports, 0.0..1000.0),
+                coldReports = section.number("cold_reports", usual.coldReports, 0.0..1000.0),
+                coldStarts = section.whole("cold_starts", usual.coldStarts, 1..10_000),
             ).also { read ->
                 if (read.hotFactor > 0 && read.hotFactor <= read.coolFactor) {
                     throw SettingsError("hot_factor in [$SECTION] must be 0 or above cool_factor, not ${read.hotFactor}")
--- /dev/null
+++ b/src/main/kotlin/burlridge/balance/SlowStart.kt
@@ -0,0 +1,64 @@
+package burlridge.balance
+
+import burlridge.core.Context
+import burlridge.intake.JobSpec
+import burlridge.intent.Claim
+import burlridge.intent.Ledger
+import burlridge.intent.Phase
+import burlridge.worker.Machine
+
+/**
+ * Limits what a machine gets at once that has just joined, or whose worker has just begun a new session: a few starts, and twice as many as
+ * are seen to run there. What it goes by is the cloud's list and the worker's last report, so that the next leader judges alike.
+ */
+internal class SlowStart(
+    private val context: Context,
+    private val settings: BalanceSettings,
+    private val ledger: Ledger,
+    /** Seconds that machines of a type usually take to come up. */
+    private val bootS: (type: String) -> Double,
+) {
+    private val coldS = settings.coldReports * context.settings.workers.reportS
+
+    /** How many more starts [machine] may get now; [UNLIMITED] once it has been there for a while. */
+    fun startsLeft(machine: Machine): Int {
+        if (!isCold(machine)) return UNLIMITED
+        val running = machine.reported.values.count { it.state == "running" }
+        return (maxOf(settings.coldStarts, running * GROWTH) - starting(machine).size).coerceAtLeast(0)
+    }
+
+    private fun isCold(machine: Machine): Boolean {
+        if (coldS <= 0.0) return false
+        // To a new leader each machine is new: how long it can have been up is told by the time of its rental.
+        val upSince = if (machine.rentedAt > 0) minOf(machine.upSince, machine.rentedAt + bootS(machine.type) * LONG_BOOT) else NEVER
+        return context.now < maxOf(upSince, machine.sessionBeganAt) + coldS
+    }
+
+    private fun starting(machine: Machine): List<Claim> =
+        ledger.claims.byMachine[machine.id]
+            ?.values
+            ?.filter { it.phase < Phase.GATHERING }
+            .orEmpty()
+
+    /** How long [spec]'s image takes to be there, which takes [aloneS] if nothing else is fetched: images share the machine's rate. */
+    fun fetchS(
+        machine: Machine,
+        spec: JobSpec,
+        aloneS: Double,
+    ): Double {
+        if (aloneS <= 0.0) return 0.0
+        val images = starting(machine).mapNotNullTo(HashSet()) { ledger.jobs[it.job]?.spec?.image }
+        images.removeAll(machine.images.keys)
+        return if (images.remove(spec.image)) aloneS * HALF_DONE * (1 + images.size) else aloneS * (1 + images.size)
+    }
+
+    internal companion object {
+        const val UNLIMITED: Int = Int.MAX_VALUE
+        private const val GROWTH = 2
+        private const val LONG_BOOT = 1.5
+        private const val NEVER = -1e9
+
+        /** Of a fetch that is under way half is left in the mean. */
+        private const val HALF_DONE = 0.5
+    }
+}
--- a/src/main/kotlin/burlridge/fleet/Fleet.kt
+++ b/src/main/kotlin/burlridge/fleet/Fleet.kt
@@ -37,7 +37,7 @@
     private val demand = Demand(context, ledger)
 
     init {
-        workers.cacheOf = { type -> catalog?.types?.get(type)?.cacheGb ?: 0.0 }
+        workers.outcomes.cacheOf = { type -> catalog?.types?.get(type)?.cacheGb ?: 0.0 }
     }
 
     fun tickCatalog() = types.tick()
--- a/src/main/kotlin/burlridge/placement/Fit.kt
+++ b/src/main/kotlin/burlridge/placement/Fit.kt
@@ -13,6 +13,9 @@
 ) {
     private val sampleSize = context.settings.operator.sample
 
+    /** Null where nobody balances load. */
+    var advice: PlacementAdvice? = null
+
     fun overLimit(
         name: String,
         use: Size,
@@ -25,7 +28,7 @@
         spec: JobSpec,
         zones: Map<String, Int>,
         room: Room,
-    ): Boolean = spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
+    ): Boolean = (room.startsLeft > 0 || spec.gang) && spec.size.fits(room.free) && zoneAllows(spec, zones, room.machine.zone)
 
     private fun zoneAllows(
         spec: JobSpec,
@@ -75,9 +78,15 @@
     ): Double {
         val left = room.free - spec.size
         val memoryUnit = room.whole.memoryGb.coerceAtLeast(1.0) / room.whole.cpus.coerceAtLeast(1.0)
-        return left.cpus + left.gpus * GPU_WEIGHT + left.memoryGb / memoryUnit / 2 + fetchS(room.machine, spec) * CPUS_A_SECOND
+        return left.cpus + left.gpus * GPU_WEIGHT + left.memoryGb / memoryUnit / 2 + expectedFetchS(room.machine, spec) * CPUS_A_SECOND
     }
 
+    /** As [fetchS], with what else is being fetched there where that is known. */
+    fun expectedFetchS(
+        machine: Machine,
+        spec: JobSpec,
+    ): Double = fetchS(machine, spec).let { aloneS -> advice?.fetchS(machine, spec, aloneS) ?: aloneS }
+
     fun fetchS(
         machine: Machine,
         spec: JobSpec,
--- a/src/main/kotlin/burlridge/placement/MoveTargets.kt
+++ b/src/main/kotlin/burlridge/placement/MoveTargets.kt
@@ -33,7 +33,7 @@
             val rooms =
                 group
                     .flatMap { it.rooms }
-                    .filterTo(ArrayList()) { isRoom(it, job, claim) && suits(Candidate(it.machine, fit.fetchS(it.machine, spec))) }
+                    .filterTo(ArrayList()) { isRoom(it, job, claim) && suits(Candidate(it.machine, fit.expectedFetchS(it.machine, spec))) }
             val room = fit.sample(rooms, spec, zones) ?: continue
             plan.keep(KeptRoom(job, claim.task, room.machine))
             return room.machine
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -26,6 +26,13 @@
             .mapNotNull { it.jobClass }
             .toSet()
 
+    /** Classes whose tasks are to start within some time. */
+    private val waitClasses =
+        context.settings.objectives
+            .filter { it.kind == "wait" && it.withinS != null }
+            .mapNotNull { it.jobClass }
+            .toSet()
+
     private val finishAims =
         context.settings.objectives
             .filter { it.kind == "finished" && it.jobClass != null && it.withinS != null }
@@ -34,7 +41,7 @@
     private val gangs = GangPlacement(context, workers, fleet, fit)
 
     /** Null where nobody balances load. */
-    var advice: PlacementAdvice? = null
+    var advice: PlacementAdvice? by fit::advice
 
     /** One round: as many waiting tasks as there is room for and one row holds. */
     fun round() {
@@ -107,11 +114,20 @@
             val free = free(machine, whole)
             val pool = pools.getOrPut(Offer(machine.type, machine.zone, machine.spot)) { Pool(whole, machine) }
             pool.machines++
-            if (free.cpus > 0 && free.memoryGb > 0) pool.rooms += Room(machine, whole, free, advice?.avoids(machine) ?: false)
+            if (free.cpus > 0 && free.memoryGb > 0) pool.rooms += room(machine, whole, free)
         }
         return pools.values.sortedWith(compareBy({ it.whole.gpus }, { it.whole.cpus }, { it.whole.memoryGb }, { !it.first.spot }))
     }
 
+    private fun room(
+        machine: Machine,
+        whole: Size,
+        free: Size,
+    ): Room {
+        val advice = advice ?: return Room(machine, whole, free)
+        return Room(machine, whole, free, advice.avoids(machine), advice.startsLeft(machine))
+    }
+
     private fun usable(machine: Machine): Boolean =
         isUp(machine) && context.now >= machine.notBefore && context.now >= machine.nextCommandAt &&
             !workers.silent(machine) && !workers.mute(machine) && workers.reaches(machine)
@@ -205,13 +221,29 @@
             task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { mayTake(job, it) } }, zones, plan)
         }
         val stopped = plan.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, plan.used(spec.team) + spec.size)
+        if (task >= 0 && spec.jobClass in waitClasses) task = fillCold(job, task, pools, zones, plan)
         // Where room was left aside for a while, another that has waited longer may still take it.
-        val tookAll = takesAvoided(job) || pools.none { pool -> pool.rooms.any { it.avoided } }
+        val tookAll = takesAvoided(job) || pools.none { pool -> pool.rooms.any { it.avoided || it.startsLeft <= 0 } }
         if (task >= 0 && !stopped && tookAll && !spec.oneZone && !spec.spread) {
             plan.unplaceable += ResourceRequest(spec.types, spec.zone, spec.spot, spec.size)
         }
     }
 
+    /** What a class's aim for starting wants at once goes to machines that have just joined as well, however much they have got. */
+    private fun fillCold(
+        job: Job,
+        first: Int,
+        pools: List<Pool>,
+        zones: HashMap<String, Int>,
+        plan: PlacementPlan,
+    ): Int {
+        val cold = pools.flatMap { pool -> pool.rooms.filter { it.startsLeft != Int.MAX_VALUE && mayTake(job, it) } }
+        if (cold.isEmpty()) return first
+        val limits = cold.associateWith { it.startsLeft }
+        cold.forEach { it.startsLeft = Int.MAX_VALUE }
+        return fill(job, first, cold, zones, plan).also { limits.forEach { (room, left) -> room.startsLeft = left } }
+    }
+
     /** What has waited for half of the time within which a job gets what room there is also takes room that is avoided. */
     private fun takesAvoided(job: Job): Boolean = (job.claimedAt?.let { context.now - it } ?: ageS(job)) > MUST_HAVE_ROOM_S / 2
 
@@ -248,6 +280,7 @@
             val room = fit.sample(shared, spec, zones) ?: fit.sample(empty, spec, zones) ?: break
             if (empty.isNotEmpty() && room.free == room.whole && empty.remove(room)) shared += room
             room.free -= spec.size
+            if (room.startsLeft != Int.MAX_VALUE) room.startsLeft--
             plan.used[spec.team] = after
             plan.jobs += spec.id
             zones.merge(room.machine.zone, 1, Int::plus)
--- a/src/main/kotlin/burlridge/placement/KeptRoom.kt
+++ b/src/main/kotlin/burlridge/placement/PlacementAdvice.kt
@@ -1,5 +1,6 @@
 package burlridge.placement
 
+import burlridge.intake.JobSpec
 import burlridge.intent.Job
 import burlridge.worker.Machine
 
@@ -17,4 +18,14 @@
 
     /** Whether [machine] gets nothing new but what would else wait too long. */
     fun avoids(machine: Machine): Boolean
+
+    /** How many more starts [machine] may get now. */
+    fun startsLeft(machine: Machine): Int
+
+    /** How long the image of [spec] takes to be on [machine], where it takes [aloneS] if nothing else is fetched there. */
+    fun fetchS(
+        machine: Machine,
+        spec: JobSpec,
+        aloneS: Double,
+    ): Double
 }
--- a/src/main/kotlin/burlridge/placement/PlacementPlan.kt
+++ b/src/main/kotlin/burlridge/placement/PlacementPlan.kt
@@ -13,6 +13,8 @@
     var free: Size,
     /** Only for what would else wait too long. */
     val avoided: Boolean = false,
+    /** How many more single tasks it may get now. */
+    var startsLeft: Int = Int.MAX_VALUE,
 ) {
     /** How many tasks of [size] find room. */
     fun seats(size: Size): Int = free.holds(size)
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -42,6 +42,12 @@
     var lastReportAt: Double = -1e9
     var recallAt: Double? = null
 
+    /** When this leader first heard its worker. */
+    var upSince: Double = 0.0
+
+    /** When its worker was seen to begin a new session; long ago where none was seen. */
+    var sessionBeganAt: Double = -1e9
+
     /** When a report was last answered with 200 by us, or may have been by an earlier leader. */
     var answeredAt: Double = 0.0
 
--- /dev/null
+++ b/src/main/kotlin/burlridge/worker/TaskOutcomes.kt
@@ -0,0 +1,144 @@
+package burlridge.worker
+
+import burlridge.core.Context
+import burlridge.intake.JobSpec
+import burlridge.intent.Claim
+import burlridge.intent.Job
+import burlridge.intent.Ledger
+import burlridge.intent.Phase
+
+/** What a report says of a claimed task, taken over into its claim and its job. */
+internal class TaskOutcomes(
+    private val context: Context,
+    private val ledger: Ledger,
+) {
+    /** What a type of machine caches; set once the types are known. */
+    var cacheOf: (String) -> Double = { 0.0 }
+
+    /** Told of each task that was seen to start and has run to its end, with its seconds. */
+    var onRan: (Machine, Job, Double) -> Unit = { _, _, _ -> }
+
+    private val times = context.settings.workers
+
+    /** The machine has the task, in the state that [report] names. */
+    fun seen(
+        machine: Machine,
+        claim: Claim,
+        report: ReportedTask,
+    ) {
+        val before = claim.phase
+        claim.phase =
+            when (report.state) {
+                "fetching" -> {
+                    Phase.FETCHING
+                }
+
+                "gathering" -> {
+                    Phase.GATHERING
+                }
+
+                "running" -> {
+                    Phase.RUNNING
+                }
+
+                "saving" -> {
+                    Phase.SAVING
+                }
+
+                // A state of a later day: the machine has the task, and that is all that is known.
+                else -> {
+                    context.count("worker.unknown_words")
+                    context.infoRateLimited(
+                        "states not known",
+                        "machine ${machine.id} reports ${claim.taskName} in a state that is not known: ${report.state.take(WORD)}",
+                    )
+                    maxOf(before, Phase.FETCHING)
+                }
+            }
+        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) {
+            claim.startedAt = context.now
+            val job = ledger.jobs[claim.job]
+            if (claim.task == 0 && job?.spec?.gang == true) {
+                context.debug(
+                    "gang ${job.spec.id} run ${claim.run} is seen to run ${(context.wallMs - job.submittedMs) / 1000.0} s after its submission",
+                )
+            }
+        }
+        if (claim.phase >= Phase.GATHERING && before < Phase.GATHERING) ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
+    }
+
+    private fun remember(
+        machine: Machine,
+        spec: JobSpec,
+    ) {
+        machine.images.remove(spec.image)
+        machine.images[spec.image] = spec.imageGb
+        val cacheGb = cacheOf(machine.type)
+        while (machine.images.size > 1 && machine.images.values.sum() > cacheGb) machine.images.remove(machine.images.keys.first())
+    }
+
+    /** The task has ended there, for the reason that [report] names. */
+    fun exited(
+        machine: Machine,
+        claim: Claim,
+        report: ReportedTask,
+    ) {
+        val job = ledger.jobs[claim.job]
+        ledger.claims.release(claim, lost = report.exitReason != "done")
+        if (job == null) return
+        when (report.exitReason) {
+            "done" -> {
+                machine.failures = 0
+                claim.startedAt?.let {
+                    job.ranS += context.now - it
+                    job.ran++
+                    onRan(machine, job, context.now - it)
+                }
+                remember(machine, job.spec)
+                ledger.markDone(job, claim.task)
+            }
+
+            "stopped" -> {
+                context.infoRateLimited("tasks stopped", "task ${claim.taskName} stopped on ${machine.id}, saved: ${report.saved}")
+            }
+
+            "error" -> {
+                job.failures++
+                machine.failures++
+                context.info(
+                    "task ${claim.taskName} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
+                )
+                job.holdOff(claim.task, context.now + minOf(times.reportS * job.failures, times.leaseS))
+                if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
+                    machine.notBefore = context.now + times.leaseS
+                }
+            }
+
+            // No fault of the machine or of the job: another task of the gang was gone, or late.
+            "peers", "incomplete" -> {
+                context.infoRateLimited(
+                    "gang tasks ended without their gang",
+                    "task ${claim.taskName} run ${claim.run} ended on ${machine.id} without its gang: ${report.exitReason}",
+                )
+            }
+
+            else -> {
+                if (report.exitReason !in REFUSALS) context.count("worker.unknown_words")
+                context.infoRateLimited(
+                    "starts refused",
+                    "start of ${claim.taskName} refused by ${machine.id}: ${report.exitReason?.take(WORD)}",
+                )
+                job.holdOff(claim.task, context.now + times.reportS / 3)
+                if (report.exitReason == "full") machine.notBefore = context.now + times.reportS / 3
+            }
+        }
+    }
+
+    private companion object {
+        const val FAILURES_TO_QUARANTINE = 2
+        val REFUSALS = setOf("full", "in_use", "unknown")
+
+        /** So much of a word that is not known is logged. */
+        const val WORD = 20
+    }
+}
--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -25,23 +25,18 @@
     private val peers: Peers,
     private val onChange: () -> Unit,
 ) : Commands.Events {
-    /** What a type of machine caches; set once the types are known. */
-    var cacheOf: (String) -> Double = { 0.0 }
-
     /** Told of each machine that is left for being slow. */
     var onSlow: (Machine) -> Unit = {}
 
     /** Told of each report that was taken over. */
     var onHeard: (Machine) -> Unit = {}
 
-    /** Told of each task that was seen to start and has run to its end, with its seconds. */
-    var onRan: (Machine, Job, Double) -> Unit = { _, _, _ -> }
-
     private val times = context.settings.workers
     val machines: LinkedHashMap<String, Machine> = LinkedHashMap()
     private var tokens = 0L
     var loaded: Boolean = false
     private val reachability = ZoneReachability(context)
+    val outcomes: TaskOutcomes = TaskOutcomes(context, ledger)
     private val reconciler = ReportReconciler(ledger) { nextToken() }
     private val commands = Commands(context, leadership, ledger, peers, reachability, reconciler, this)
     private val draining = MachineDrain(context, ledger, this)
@@ -177,6 +172,11 @@
         val tally = report.sequence
         if (session < machine.session || (session == machine.session && tally <= machine.tally)) return false
         if (session != machine.session && machine.up && loaded) loseAll(machine, "its worker began session $session", session)
+        if (machine.tally < 0) {
+            machine.upSince = context.now
+        } else if (session != machine.session) {
+            machine.sessionBeganAt = context.now
+        }
         if (session != machine.session || machine.tally < 0) {
             // Its lease began with the session, at the latest now. Only a new session ends the lapse of the one before: an answer to a
             // command renews no lease, and what started after it would be taken for gone while it runs.
@@ -213,8 +213,8 @@
             val report = machine.reported[taskKey(claim.taskName, claim.run)]
             when {
                 report == null -> if (knownAbsent(machine, claim)) lose(claim, "its worker does not have it")
-                report.exited -> exited(machine, claim, report)
-                else -> seen(machine, claim, report)
+                report.exited -> outcomes.exited(machine, claim, report)
+                else -> outcomes.seen(machine, claim, report)
             }
         }
         setOrphans(
@@ -243,118 +243,6 @@
             else -> !machine.commanding && machine.seenToken > machine.unsettledToken
         }
 
-    private fun seen(
-        machine: Machine,
-        claim: Claim,
-        report: ReportedTask,
-    ) {
-        val before = claim.phase
-        claim.phase =
-            when (report.state) {
-                "fetching" -> {
-                    Phase.FETCHING
-                }
-
-                "gathering" -> {
-                    Phase.GATHERING
-                }
-
-                "running" -> {
-                    Phase.RUNNING
-                }
-
-                "saving" -> {
-                    Phase.SAVING
-                }
-
-                // A state of a later day: the machine has the task, and that is all that is known.
-                else -> {
-                    context.count("worker.unknown_words")
-                    context.infoRateLimited(
-                        "states not known",
-                        "machine ${machine.id} reports ${claim.taskName} in a state that is not known: ${report.state.take(WORD)}",
-                    )
-                    maxOf(before, Phase.FETCHING)
-                }
-            }
-        if (claim.phase == Phase.RUNNING && before != Phase.RUNNING && !claim.inherited) {
-            claim.startedAt = context.now
-            val job = ledger.jobs[claim.job]
-            if (claim.task == 0 && job?.spec?.gang == true) {
-                context.debug(
-                    "gang ${job.spec.id} run ${claim.run} is seen to run ${(context.wallMs - job.submittedMs) / 1000.0} s after its submission",
-                )
-            }
-        }
-        if (claim.phase >= Phase.GATHERING && before < Phase.GATHERING) ledger.jobs[claim.job]?.let { remember(machine, it.spec) }
-    }
-
-    private fun remember(
-        machine: Machine,
-        spec: JobSpec,
-    ) {
-        machine.images.remove(spec.image)
-        machine.images[spec.image] = spec.imageGb
-        val cacheGb = cacheOf(machine.type)
-        while (machine.images.size > 1 && machine.images.values.sum() > cacheGb) machine.images.remove(machine.images.keys.first())
-    }
-
-    private fun exited(
-        machine: Machine,
-        claim: Claim,
-        report: ReportedTask,
-    ) {
-        val job = ledger.jobs[claim.job]
-        ledger.claims.release(claim, lost = report.exitReason != "done")
-        if (job == null) return
-        when (report.exitReason) {
-            "done" -> {
-                machine.failures = 0
-                claim.startedAt?.let {
-                    job.ranS += context.now - it
-                    job.ran++
-                    onRan(machine, job, context.now - it)
-                }
-                remember(machine, job.spec)
-                ledger.markDone(job, claim.task)
-            }
-
-            "stopped" -> {
-                context.infoRateLimited("tasks stopped", "task ${claim.taskName} stopped on ${machine.id}, saved: ${report.saved}")
-            }
-
-            "error" -> {
-                job.failures++
-                machine.failures++
-                context.info(
-                    "task ${claim.taskName} failed on ${machine.id}: failure ${job.failures} of its job, ${machine.failures} in a row there",
-                )
-                job.holdOff(claim.task, context.now + minOf(times.reportS * job.failures, times.leaseS))
-                if (machine.failures >= FAILURES_TO_QUARANTINE && job.failures < machine.failures * 2) {
-                    machine.notBefore = context.now + times.leaseS
-                }
-            }
-
-            // No fault of the machine or of the job: another task of the gang was gone, or late.
-            "peers", "incomplete" -> {
-                context.infoRateLimited(
-                    "gang tasks ended without their gang",
-                    "task ${claim.taskName} run ${claim.run} ended on ${machine.id} without its gang: ${report.exitReason}",
-                )
-            }
-
-            else -> {
-                if (report.exitReason !in REFUSALS) context.count("worker.unknown_words")
-                context.infoRateLimited(
-                    "starts refused",
-                    "start of ${claim.taskName} refused by ${machine.id}: ${report.exitReason?.take(WORD)}",
-                )
-                job.holdOff(claim.task, context.now + times.reportS / 3)
-                if (report.exitReason == "full") machine.notBefore = context.now + times.reportS / 3
-            }
-        }
-    }
-
     override fun lose(
         claim: Claim,
         reason: String,
@@ -483,10 +371,5 @@
         const val TERM_SHIFT = 20
         private const val SWEEPS_A_REPORT = 10
         private const val SILENT_REPORTS = 2.5
-        private const val FAILURES_TO_QUARANTINE = 2
-        private val REFUSALS = setOf("full", "in_use", "unknown")
-
-        /** So much of a word that is not known is logged. */
-        private const val WORD = 20
     }
 }
--- a/src/test/kotlin/burlridge/balance/DrainTest.kt
+++ b/src/test/kotlin/burlridge/balance/DrainTest.kt
@@ -144,8 +144,10 @@
                 .first()
                 .machine
         world.cloud.worker(slow)?.slowness = 6.0
-        while (world.clock.now < 100 && world.log.none { "drain of machine $slow: requested" in it }) world.run(world.clock.now + 0.1)
+        while (world.clock.now < 100 && world.log.none { "$slow is slow" in it }) world.run(world.clock.now + 0.1)
         val foundAt = world.clock.now
+        assertTrue(foundAt < 60.0, world.tail())
+        world.run(foundAt + 0.2)
         world.crash(world.leader() ?: error("no leader"), 3.0)
         world.run(150.0)
         world.verdict(jobs)
@@ -158,6 +160,35 @@
         assertEquals(1, world.log.count { "$slow is slow" in it }, world.tail())
     }
 
+    /** Guards the row's own stamp: the fence lets every copy of the same leader through. */
+    @Test
+    fun `copies of a drain's writes that come after its cancellation change nothing`() {
+        val world = balancedWorld(9)
+        world.lateS = 12.0
+        world.meddle = { _, call -> if ("\"set\":\"drain/" in call.body.orEmpty()) World.Fate.REPEATED else World.Fate.FINE }
+        world.clock.after(20.0) { world.drainZone("a") }
+        world.clock.after(28.0) { world.undrainZone("a") }
+        for (at in 29..60) {
+            world.run(at.toDouble())
+            assertEquals("cancelled", world.stateOf("zone/a"), "at $at s")
+        }
+    }
+
+    /** Guards the wait for the cloud's list and the reports: a new leader knows of few machines at first, and not where they are. */
+    @Test
+    fun `a new leader does not call a zone drained while tasks run there`() {
+        for (seed in 1..8) {
+            val world = balancedWorld(seed, BalanceSettings(moves = MovePermission.NEVER), members = 5)
+            val jobs = world.submitAll((0 until 10).map { world.savingJob(it, 4, runS = 50.0) }, 20.0)
+            world.clock.after(35.0) { world.drainZone("a") }
+            for (turn in 0 until 6) world.clock.after(36.0 + turn * 5.5) { world.leader()?.let { world.crash(it, 4.0) } }
+            while (world.clock.now < 200.0 && world.stateOf("zone/a") != "drained") world.run(world.clock.now + 0.1)
+            assertEquals(null, world.zones()["a"], "seed $seed: drained at ${world.clock.now}\n${world.tail()}")
+            world.run(220.0)
+            world.verdict(jobs)
+        }
+    }
+
     @Test
     fun `a drain by network covers machines that join later, and is not outrun by renting`() {
         val world = balancedWorld(7)
