--- a/src/main/kotlin/burlridge/app/AdminCommand.kt
+++ b/src/main/kotlin/burlridge/app/AdminCommand.kt
@@ -46,6 +46,13 @@
 
     fun undrainMachines(target: MachineTarget): String = change(MachineRequests.UNDRAIN, target, forced = false)
 
+    /** Why the leader decided what it did about a task or machine. */
+    fun explain(subject: String): String {
+        val answer =
+            askIfOn("GET", MachineRequests.EXPLAIN + subject) ?: throw Failure("the controller at $address has no balance switched on")
+        return BalanceText.explain(answer)
+    }
+
     private fun change(
         path: String,
         target: MachineTarget,
@@ -55,6 +62,7 @@
             Json.obj {
                 put(target.kind, target.value)
                 put("force", forced)
+                put(MachineRequests.ASKED, System.currentTimeMillis())
             }
         val answer = askIfOn("POST", path, Json.write(request)) ?: throw Failure("the controller at $address has no balance switched on")
         return BalanceText.drain(answer)
--- a/src/main/kotlin/burlridge/app/BalanceText.kt
+++ b/src/main/kotlin/burlridge/app/BalanceText.kt
@@ -1,6 +1,7 @@
 package burlridge.app
 
 import com.fasterxml.jackson.databind.JsonNode
+import java.time.Instant
 
 /** The leader's report about drains and moves as lines of text. */
 internal object BalanceText {
@@ -39,6 +40,14 @@
         ).asText()} (${report.path("cause").asText()}): ${report.path("state").asText()}$left$why"
     }
 
+    fun explain(answer: JsonNode): String {
+        val decisions = answer.path("decisions").map { "  ${Instant.ofEpochMilli(it.path("at_ms").asLong())} ${it.path("text").asText()}" }
+        val since = Instant.ofEpochMilli(answer.path("since_ms").asLong())
+        val dropped = answer.path("dropped").asLong().let { if (it > 0) "; $it older decisions are dropped" else "" }
+        val head = "${answer.path("subject").asText()}, as ${answer.path("member").asText()} decided since $since$dropped:"
+        return (listOf(head) + decisions.ifEmpty { listOf("  nothing off the ordinary path") }).joinToString("\n")
+    }
+
     private fun move(move: JsonNode): String {
         val to = move.path("to").takeIf { it.isTextual }?.asText() ?: "wherever there is room"
         return "move ${move.path("time").asInt()} of ${move.path("task").asText()} run ${move.path("run").asInt()}: " +
--- a/src/main/kotlin/burlridge/app/CommandLine.kt
+++ b/src/main/kotlin/burlridge/app/CommandLine.kt
@@ -18,6 +18,7 @@
           and how far drains of machines have come.
   drain   Take that controller, another member, or machines out of service in order.
   undrain Call a drain of machines off: what has not moved stays.
+  explain Say why a task was moved or placed as it was, or why a machine gets nothing new.
 
 Options of all commands:
   --config FILE     the platform's settings, a JSON file (required)
@@ -31,6 +32,9 @@
   --machine NAME    a machine
   --network RANGE   all machines in a range of addresses, as 10.1.0.0/24 or 2001:db8::/48
   --zone ZONE       all machines of a zone
+Options of explain, one of:
+  --task NAME       a task, as j-000412/3
+  --machine NAME    a machine
 Further option of drain with one of these:
   --force           also the last machine that can hold somebody's tasks
 
@@ -73,6 +77,11 @@
         val target: MachineTarget,
     ) : CommandLine
 
+    data class Explain(
+        val files: SettingsFiles,
+        val subject: String,
+    ) : CommandLine
+
     /** Run once by the build: what it loads goes into the class archive that makes a controller's start cheap. */
     data object Rehearse : CommandLine
 
@@ -93,6 +102,8 @@
         private const val WAIT = "wait"
         private const val FORCE = "force"
         private val TARGETS = listOf("machine", "network", "zone")
+        private val EXPLAINED = listOf("task", "machine")
+        private val SUBJECT = Regex("[A-Za-z0-9._/-]{1,200}")
         private const val USUAL_WAIT = "30"
         private val WAITS = 0L..3600L
 
@@ -106,6 +117,7 @@
                 "status" -> withFiles(args.drop(1), options()) { files, _ -> Status(files) }
                 "drain" -> withFiles(args.drop(1), drainOptions(), ::drain)
                 "undrain" -> withFiles(args.drop(1), targetOptions(), ::undrain)
+                "explain" -> withFiles(args.drop(1), explainOptions(), ::explain)
                 "rehearse" -> if (args.size == 1) Rehearse else Mistaken("rehearse takes no arguments")
                 else -> Mistaken("no such command: $command")
             }
@@ -145,6 +157,18 @@
             line: ParsedOptions,
         ): CommandLine = targets(line).singleOrNull()?.let { UndrainMachines(files, it) } ?: Mistaken("name one of ${named()}")
 
+        private fun explain(
+            files: SettingsFiles,
+            line: ParsedOptions,
+        ): CommandLine {
+            val subject = EXPLAINED.mapNotNull { line.getOptionValue(it) }.singleOrNull()
+            if (subject == null || !SUBJECT.matches(subject)) return Mistaken("name one of --task, --machine")
+            return Explain(files, subject)
+        }
+
+        private fun explainOptions(): Options =
+            options().also { all -> EXPLAINED.forEach { all.addOption(Option(null, it, true, "the $it to explain")) } }
+
         private fun targets(line: ParsedOptions): List<MachineTarget> =
             TARGETS.mapNotNull { kind -> line.getOptionValue(kind)?.let { MachineTarget(kind, it) } }
 
--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -58,6 +58,7 @@
         is CommandLine.Status -> administer(command.files) { status() }
         is CommandLine.Drain -> administer(command.files) { drain(command.member, command.waitS) }
         is CommandLine.DrainMachines -> administer(command.files) { drainMachines(command.target, command.forced) }
+        is CommandLine.Explain -> administer(command.files) { explain(command.subject) }
         is CommandLine.UndrainMachines -> administer(command.files) { undrainMachines(command.target) }
         is CommandLine.Check -> check(command.files.read())
         CommandLine.Rehearse -> rehearse()
--- a/src/main/kotlin/burlridge/balance/Balance.kt
+++ b/src/main/kotlin/burlridge/balance/Balance.kt
@@ -8,11 +8,13 @@
 import burlridge.placement.KeptRoom
 import burlridge.placement.Placement
 import burlridge.placement.PlacementAdvice
+import burlridge.placement.PlacementReason
 import burlridge.store.Listing
 import burlridge.store.Store
 import burlridge.worker.DrainReason
 import burlridge.worker.Machine
 import burlridge.worker.Workers
+import com.fasterxml.jackson.databind.JsonNode
 
 /** What the rest of a controller lends to this package. */
 internal class BalancePorts(
@@ -34,9 +36,10 @@
     private val workers = ports.workers
     private val index = DrainIndex()
     private val drains: Drains = Drains(context, ports.store, ports.leadership, ::rebuildIndex)
-    private val moves = Moves(context, settings, ports.store, ports.leadership, ports.ledger, workers)
+    private val decisions = DecisionLog(context, settings.decisions)
+    private val moves = Moves(context, settings, ports.store, ports.leadership, ports.ledger, workers, decisions)
     private val evacuation = Evacuation(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
-    private val relief = Relief(context, settings, ports.ledger, workers, moves) { ports.placement.moveTargets() }
+    private val relief = Relief(context, settings, ports.ledger, workers, moves, decisions) { ports.placement.moveTargets() }
     private val slowStart =
         SlowStart(context, settings, ports.ledger) { type ->
             ports.fleet.catalog
@@ -56,7 +59,10 @@
     init {
         ports.placement.advice = this
         ports.fleet.isZoneDrained = index::isDrained
-        workers.onSlow = { machine -> drains.request(DrainTarget.Named(machine.id), DrainCause.SLOW) {} }
+        workers.onSlow = { machine ->
+            decisions.add(Decision.LeftForSlowness(machine.id))
+            drains.request(DrainTarget.Named(machine.id), DrainCause.SLOW) {}
+        }
         if (settings.hotFactor > 0) {
             workers.onHeard = relief::heard
             workers.outcomes.onRan = relief::ended
@@ -67,6 +73,15 @@
 
     override fun avoids(machine: Machine): Boolean = machine.id in relief.hot
 
+    override fun placed(
+        taskName: String,
+        machine: String,
+        reason: PlacementReason,
+    ) = decisions.add(Decision.Placed(taskName, machine, reason))
+
+    /** Why what is known of a task or machine was decided, by this leader. */
+    fun explain(subject: String): JsonNode = decisions.explain(subject)
+
     override fun startsLeft(machine: Machine): Int = slowStart.startsLeft(machine)
 
     override fun fetchS(
@@ -86,6 +101,7 @@
         moves.clear()
         evacuation.clear()
         relief.clear()
+        decisions.clear()
         joined.clear()
     }
 
@@ -109,6 +125,7 @@
         drain: Drain,
     ) {
         if (machine.drainReason == null) {
+            decisions.add(Decision.Covered(machine.id, drain))
             if (drain.cause == DrainCause.SLOW) workers.leaveSlow(machine) else machine.drainReason = DrainReason.OPERATOR
         }
         // Where the cloud puts new machines cannot be chosen by network: what it gave there is not asked for again at once.
@@ -118,7 +135,9 @@
     }
 
     private fun uncover(machine: Machine) {
-        if (machine.drainReason == DrainReason.OPERATOR) machine.drainReason = null
+        if (machine.drainReason != DrainReason.OPERATOR) return
+        machine.drainReason = null
+        decisions.add(Decision.BackInService(machine.id))
     }
 
     fun tick() {
--- a/src/main/kotlin/burlridge/balance/BalanceSettings.kt
+++ b/src/main/kotlin/burlridge/balance/BalanceSettings.kt
@@ -55,6 +55,8 @@
     val coldReports: Double = 5.0,
     /** Starts that such a machine may get before any is seen to run; later twice as many as run. */
     val coldStarts: Int = 4,
+    /** Decisions of which the reasons are kept. */
+    val decisions: Int = 2000,
 ) {
     fun permission(jobClass: String): MovePermission = classMoves[jobClass] ?: moves
 
@@ -85,6 +87,7 @@
                 "gain_reports",
                 "cold_reports",
                 "cold_starts",
+                "decisions",
             )
         private val BUDGETS = 0..1_000_000
 
@@ -106,6 +109,7 @@
                 gainReports = section.number("gain_reports", usual.gainReports, 0.0..1000.0),
                 coldReports = section.number("cold_reports", usual.coldReports, 0.0..1000.0),
                 coldStarts = section.whole("cold_starts", usual.coldStarts, 1..10_000),
+                decisions = section.whole("decisions", usual.decisions, 0..100_000),
             ).also { read ->
                 if (read.hotFactor > 0 && read.hotFactor <= read.coolFactor) {
                     throw SettingsError("hot_factor in [$SECTION] must be 0 or above cool_factor, not ${read.hotFactor}")
--- a/src/main/kotlin/burlridge/balance/MachineRequests.kt
+++ b/src/main/kotlin/burlridge/balance/MachineRequests.kt
@@ -26,7 +26,7 @@
         passedOn: Boolean,
         then: (Answer) -> Unit,
     ) {
-        val allowed = if (path == STATUS) "GET" else "POST"
+        val allowed = if (path == STATUS || path.startsWith(EXPLAIN)) "GET" else "POST"
         when {
             method != allowed -> then(Answer.error(NOT_ALLOWED, "use $allowed"))
             leadership.holdsLease && isLoaded() -> lead(path, body, onceInTime(then))
@@ -60,7 +60,9 @@
         then: (Answer) -> Unit,
     ) {
         if (path == STATUS) return then(Answer(OK, Json.write(balance.report().encode())))
+        if (path.startsWith(EXPLAIN)) return then(Answer(OK, Json.write(balance.explain(path.removePrefix(EXPLAIN)))))
         val request = Json.parseOrNull(body)
+        if (isStale(request)) return then(Answer.error(CONFLICT, "this was asked too long ago and is not carried out; ask again"))
         val target =
             try {
                 DrainTarget.parse(request)
@@ -74,6 +76,12 @@
         }
     }
 
+    /** What was held up on its way must not undo what was asked since: whoever asked has given it up. */
+    private fun isStale(request: JsonNode?): Boolean {
+        val askedMs = request?.path(ASKED)?.takeIf { it.isIntegralNumber } ?: return false
+        return context.wallMs - askedMs.asLong() > MOST_AGE_MS
+    }
+
     private fun isForced(request: JsonNode?): Boolean = request?.path("force")?.asBoolean(false) ?: false
 
     private fun answer(change: DrainChange): Answer =
@@ -101,8 +109,16 @@
         const val DRAIN: String = "/admin/machines/drain"
         const val UNDRAIN: String = "/admin/machines/undrain"
 
-        fun serves(path: String): Boolean = path == STATUS || path == DRAIN || path == UNDRAIN
+        /** Followed by the name of a task or machine. */
+        const val EXPLAIN: String = "/admin/machines/explain/"
+
+        fun serves(path: String): Boolean = path == STATUS || path == DRAIN || path == UNDRAIN || path.startsWith(EXPLAIN)
+
+        /** In a request, the time of day at which it was asked, in milliseconds. */
+        const val ASKED: String = "asked_ms"
 
+        /** How long whoever asks waits for the answer, and what times of day may differ by. */
+        private const val MOST_AGE_MS = 7_000
         private const val OK = 200
         private const val MALFORMED = 400
         private const val NOT_FOUND = 404
--- a/src/main/kotlin/burlridge/balance/Moves.kt
+++ b/src/main/kotlin/burlridge/balance/Moves.kt
@@ -28,6 +28,7 @@
     private val leadership: Leadership,
     private val ledger: Ledger,
     private val workers: Workers,
+    private val decisions: DecisionLog,
 ) {
     private class Open(
         val move: Move,
@@ -103,6 +104,7 @@
             open[move.taskName] = Open(move, batch)
         }
         writing = true
+        moves.forEach { decisions.add(Decision.Planned(it)) }
         context.count("balance.moves", moves.sumOf { it.tasks })
         context.info(
             "move ${batch.key.substringAfter('/')}: ${moves.sumOf { it.tasks }} tasks of ${moves.map { it.job }.distinct().size} jobs",
@@ -168,14 +170,25 @@
         val move = open.move
         val claim = job.claims.get(move.task)
         return when {
-            claim == null -> job.done.get(move.task) || !mayKeepRoom(open)
+            claim == null -> job.done.get(move.task) || givesUpRoom(open)
             claim.run != move.run -> true
             open.stopped || claim.stopGraceS != null -> false
-            isPutBack(move) -> true
+            isPutBack(move) -> putBack(move)
             else -> !stop(open, job, claim)
         }
     }
 
+    private fun givesUpRoom(open: Open): Boolean {
+        if (mayKeepRoom(open)) return false
+        if (open.move.to != null) decisions.add(Decision.RoomGivenUp(open.move))
+        return true
+    }
+
+    private fun putBack(move: Move): Boolean {
+        decisions.add(Decision.PutBack(move))
+        return true
+    }
+
     private fun stop(
         open: Open,
         job: Job,
--- a/src/main/kotlin/burlridge/balance/Relief.kt
+++ b/src/main/kotlin/burlridge/balance/Relief.kt
@@ -41,6 +41,7 @@
     private val ledger: Ledger,
     private val workers: Workers,
     private val moves: Moves,
+    private val decisions: DecisionLog,
     private val targets: () -> MoveTargets,
 ) {
     private val times = context.settings.workers
@@ -80,12 +81,13 @@
         val before = hot
         hot = judge()
         (hot - before).forEach { id ->
-            context.count("balance.hot_marks")
+            decisions.add(Decision.BecameHot(id, picture.slowdown(id, context.now)))
             context.infoRateLimited(
                 "hot machines",
                 "machine $id is hot: its tasks take %.1f times as long".format(picture.slowdown(id, context.now)),
             )
         }
+        (before - hot).forEach { decisions.add(Decision.Cooled(it, picture.slowdown(it, context.now))) }
         if (hot.isNotEmpty() && settings.relieveHot && !moves.writing) relieve()
     }
 
--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -99,6 +99,7 @@
         plan.jobs += spec.id
         plan.claims += claim(job, kept.task, kept.machine)
         plan.placedWhereKept += "${spec.id}/${kept.task}"
+        advice?.placed("${spec.id}/${kept.task}", kept.machine.id, PlacementReason.KEPT_ROOM)
     }
 
     private fun full(plan: PlacementPlan): Boolean =
@@ -241,7 +242,11 @@
         if (cold.isEmpty()) return first
         val limits = cold.associateWith { it.startsLeft }
         cold.forEach { it.startsLeft = Int.MAX_VALUE }
-        return fill(job, first, cold, zones, plan).also { limits.forEach { (room, left) -> room.startsLeft = left } }
+        val before = plan.claims.size
+        val next = fill(job, first, cold, zones, plan)
+        limits.forEach { (room, left) -> room.startsLeft = left }
+        plan.claims.drop(before).forEach { advice?.placed(it.taskName, it.machine, PlacementReason.COLD_FOR_AIM) }
+        return next
     }
 
     /** What has waited for half of the time within which a job gets what room there is also takes room that is avoided. */
@@ -285,6 +290,7 @@
             plan.jobs += spec.id
             zones.merge(room.machine.zone, 1, Int::plus)
             plan.claims += claim(job, task, room.machine)
+            if (room.avoided) advice?.placed("${spec.id}/$task", room.machine.id, PlacementReason.AVOIDED_AFTER_WAIT)
             task = next(job, task + 1, plan)
         }
         return task
--- a/src/main/kotlin/burlridge/placement/PlacementAdvice.kt
+++ b/src/main/kotlin/burlridge/placement/PlacementAdvice.kt
@@ -19,6 +19,13 @@
     /** Whether [machine] gets nothing new but what would else wait too long. */
     fun avoids(machine: Machine): Boolean
 
+    /** Told of each task that is placed otherwise than by best fit. */
+    fun placed(
+        taskName: String,
+        machine: String,
+        reason: PlacementReason,
+    )
+
     /** How many more starts [machine] may get now. */
     fun startsLeft(machine: Machine): Int
 
--- a/src/test/kotlin/burlridge/balance/DrainTest.kt
+++ b/src/test/kotlin/burlridge/balance/DrainTest.kt
@@ -174,6 +174,21 @@
         }
     }
 
+    /** Guards the age of a request: it waits in a member that stands still, and whoever asked has given it up. */
+    @Test
+    fun `a drain that is carried on only after its cancellation changes nothing`() {
+        val world = balancedWorld(10)
+        world.clock.after(20.0) { world.drainZone("a") }
+        world.clock.after(30.0) {
+            val slow = world.members.first { it != world.leader() }
+            world.freeze(slow, 12.0)
+            world.ask(slow, "POST", MachineRequests.DRAIN, """{"zone":"a","force":true,"asked_ms":30000}""") { _, _ -> }
+        }
+        world.clock.after(33.0) { world.undrainZone("a", { world.leader() ?: world.anyMember() }) }
+        world.run(60.0)
+        assertEquals("cancelled", world.stateOf("zone/a"), world.tail())
+    }
+
     /** Guards the wait for the cloud's list and the reports: a new leader knows of few machines at first, and not where they are. */
     @Test
     fun `a new leader does not call a zone drained while tasks run there`() {
