--- /dev/null
+++ b/src/test/kotlin/burlridge/balance/BalanceMeasurement.kt
@@ -0,0 +1,260 @@
+package burlridge.balance
+
+import burlridge.core.OperatorSettings
+import burlridge.intake.JobSpec
+import burlridge.sim.Times
+import burlridge.sim.TypeSpec
+import burlridge.sim.World
+import burlridge.sim.job
+import burlridge.sim.submit
+import java.io.File
+import kotlin.math.sqrt
+import kotlin.system.exitProcess
+
+/** What is switched on in a run of the measurement. */
+internal enum class Variant(
+    val label: String,
+    val settings: BalanceSettings?,
+) {
+    OFF("off", null),
+    ON("on", BalanceSettings()),
+    WITHOUT_MOVES("on, no moves", BalanceSettings(moves = MovePermission.NEVER)),
+    WITHOUT_PICTURE("on, no picture of load", BalanceSettings(hotFactor = 0.0)),
+    WITHOUT_SLOW_START("on, no slow start", BalanceSettings(coldReports = 0.0)),
+}
+
+/** What one run of the burst came to; waits in seconds, by class. */
+internal class BurstOutcome(
+    val variant: Variant,
+    val machines: Int,
+    val largestToMedian: Double,
+    val variation: Double,
+    val waits: Map<String, List<Double>>,
+    val fetchedS: Double,
+    val moves: Int,
+    val lostS: Double,
+    /** Until the last task of the sweep was over. */
+    val sweepS: Double,
+    val breaches: List<String>,
+)
+
+/** What a drain of a third of the machines came to. */
+internal class DrainOutcome(
+    val machines: Int,
+    val leaderKilled: Boolean,
+    val drainedS: Double,
+    val waits: List<Double>,
+    val moves: Int,
+    val breaches: List<String>,
+)
+
+internal fun List<Double>.quantile(part: Double): Double =
+    sorted().let {
+        if (it.isEmpty()) Double.NaN else it[((it.size - 1) * part).toInt()]
+    }
+
+/**
+ * A skewed burst and a drain of a third of the fleet against stand-in workers in virtual time, a program outside CI. `docs/balance.md` has
+ * the command and its figures. Arguments: the file of the report, the number of seeds, and the numbers of machines.
+ */
+internal class BalanceMeasurement(
+    private val machines: Int,
+) {
+    private var fetchedS = 0.0
+
+    private fun world(
+        seed: Int,
+        settings: BalanceSettings?,
+    ): World {
+        val types = mapOf("small" to TypeSpec(CPUS, CPUS * 4, (machines + POOLS - 1) / POOLS))
+        val world =
+            World(
+                seed,
+                types = types,
+                guaranteed = 0.0,
+                times = Times(),
+                writeRps = WRITE_RPS,
+                operator = OperatorSettings(balance = settings),
+            )
+        // A tenth joins cold, in the middle of the burst.
+        world.cloud.bootS =
+            { if (world.random.nextInt(TENTH) == 0) LATE_BOOT_S + world.random.nextDouble() * 3 else 3 + world.random.nextDouble() * 4 }
+        fetchedS = 0.0
+        world.fetchTime = { worker, spec ->
+            val takesS = if (spec.image in worker.images) 0.0 else spec.imageGb * (0.7 + world.random.nextDouble() * 0.6)
+            fetchedS += takesS
+            takesS
+        }
+        return world
+    }
+
+    private fun World.sweepJob(
+        number: Int,
+        tasks: Int,
+        runS: Double,
+    ): JobSpec = job(number, tasks, runS = runS, jobClass = SWEEP).copy(image = "img-sweep", imageGb = 4.0, checkpointS = 10.0, saveS = 1.0)
+
+    private fun World.previews(
+        from: Double,
+        seconds: Int,
+        perSecond: Int,
+    ): List<JobSpec> =
+        (0 until seconds * perSecond).map { i ->
+            val spec = job(1000 + i, 4, runS = 8.0, jobClass = PREVIEW, team = "crew-y").copy(image = "img-preview", imageGb = 2.0)
+            clock.after(from + i / perSecond.toDouble()) { submit(spec) }
+            spec
+        }
+
+    fun burst(
+        seed: Int,
+        variant: Variant,
+    ): BurstOutcome {
+        val world = world(seed, variant.settings)
+        // Images on a tenth of the fleet, and a tenth of the machines slow.
+        val warmUp = world.sweepJob(1, machines / TENTH * CPUS.toInt(), runS = 6.0)
+        world.clock.after(12.0) { world.submit(warmUp) }
+        world.run(14.0)
+        val names = world.cloud.names()
+        names.filterIndexed { i, _ -> i % TENTH == 3 }.forEach { world.cloud.worker(it)?.slowness = SLOWNESS }
+        // Ten jobs of one team, half of what the fleet holds, then previews for a minute and a half.
+        val share = (machines * CPUS * SWEEP_PART / SWEEP_JOBS).toInt()
+        val sweep = (0 until SWEEP_JOBS).map { world.sweepJob(2 + it, share, runS = 20.0 + 5 * it) }
+        sweep.forEachIndexed { i, job -> world.clock.after(BURST_AT - 14.0 + i) { world.submit(job) } }
+        val previews = world.previews(BURST_AT - 14.0 + 5, 90, maxOf(1, machines / 50))
+        world.run(BURST_AT + 12.0)
+        val load = loads(world)
+        world.run(BURST_AT + 400.0)
+        val all = sweep + previews
+        return BurstOutcome(
+            variant,
+            machines,
+            load.max() / load.quantile(0.5).coerceAtLeast(1.0),
+            variation(load),
+            mapOf(SWEEP to waits(world, sweep, BURST_AT), PREVIEW to waits(world, previews, BURST_AT + 5)),
+            fetchedS,
+            world.history.stops.size,
+            world.rules.lostS,
+            world.history.ran
+                .filter { run -> sweep.any { run.task.startsWith(it.id) } }
+                .maxOf { it.until } - BURST_AT,
+            breaches(world, all),
+        )
+    }
+
+    /** Tasks on each machine that is up now. */
+    private fun loads(world: World): List<Double> {
+        val on =
+            world.history.starts
+                .groupingBy { it.machine }
+                .eachCount()
+        val over =
+            world.history.ran
+                .groupingBy { it.machine }
+                .eachCount()
+        return world.cloud
+            .names()
+            .filter { (world.cloud.worker(it)?.term ?: 0) > 0 }
+            .map { ((on[it] ?: 0) - (over[it] ?: 0)).toDouble() }
+    }
+
+    private fun variation(values: List<Double>): Double {
+        val mean = values.average()
+        return sqrt(values.sumOf { (it - mean) * (it - mean) } / values.size) / mean
+    }
+
+    /** From a job's submission to each of its tasks' first start. */
+    private fun waits(
+        world: World,
+        jobs: List<JobSpec>,
+        from: Double,
+    ): List<Double> {
+        val perSecond = maxOf(1, machines / 50)
+        val submitted =
+            jobs
+                .mapIndexed { i, job ->
+                    job.id to
+                        if (job.jobClass ==
+                            SWEEP
+                        ) {
+                            from + i
+                        } else {
+                            from + i / perSecond.toDouble()
+                        }
+                }.toMap()
+        val first = HashMap<String, Double>()
+        world.history.starts.forEach { first.putIfAbsent(it.task, it.at) }
+        return first.mapNotNull { (task, at) -> submitted[task.substringBefore('/')]?.let { at - it } }
+    }
+
+    private fun breaches(
+        world: World,
+        jobs: List<JobSpec>,
+    ): List<String> = world.rules.broken + world.history.breaches(jobs.map { it.id }) + world.history.drainBreaches(SLACK_S)
+
+    /** Every third machine is drained by name, under load; the leader is killed two seconds after. */
+    fun drain(
+        seed: Int,
+        killLeader: Boolean,
+    ): DrainOutcome {
+        val world = world(seed, BalanceSettings(finishReports = 2.0))
+        world.cloud.bootS = { 3 + world.random.nextDouble() * 4 }
+        val sweep = (0 until SWEEP_JOBS).map { world.sweepJob(2 + it, (machines * CPUS * DRAIN_LOAD / SWEEP_JOBS).toInt(), runS = 60.0) }
+        sweep.forEach { job -> world.clock.after(15.0) { world.submit(job) } }
+        val previews = world.previews(30.0, 60, maxOf(1, machines / 100))
+        world.run(30.0)
+        val leaving = world.cloud.names().filterIndexed { i, _ -> i % 3 == 0 }
+        leaving.forEach { drainMachine(world, it) }
+        if (killLeader) world.clock.after(2.0) { world.leader()?.let { world.crash(it, 5.0) } }
+        while (world.clock.now < 400.0 && world.cloud.names().any { it in leaving }) world.run(world.clock.now + 0.5)
+        val drainedS = world.clock.now - 30.0
+        world.run(400.0)
+        return DrainOutcome(
+            machines,
+            killLeader,
+            drainedS,
+            waits(world, previews, 30.0),
+            world.history.stops.size,
+            breaches(
+                world,
+                sweep + previews,
+            ),
+        )
+    }
+
+    private fun drainMachine(
+        world: World,
+        machine: String,
+    ) {
+        world.ask(world.anyMember(), "POST", MachineRequests.DRAIN, """{"machine":"$machine","force":true}""") { status, _ ->
+            if (status == OK) world.drained(machine) else world.clock.after(1.0) { drainMachine(world, machine) }
+        }
+    }
+
+    private companion object {
+        const val CPUS = 4.0
+        const val POOLS = 4
+        const val TENTH = 10
+        const val SWEEP = "sweep"
+        const val PREVIEW = "urgent"
+        const val SWEEP_JOBS = 10
+        const val SWEEP_PART = 0.5
+        const val DRAIN_LOAD = 0.5
+        const val SLOWNESS = 1.5
+        const val BURST_AT = 20.0
+        const val LATE_BOOT_S = 22.0
+        const val WRITE_RPS = 100
+        const val SLACK_S = 2.5
+        const val OK = 200
+    }
+}
+
+internal fun main(args: Array<String>) {
+    val seeds = 1..args[1].toInt()
+    val sizes = args.drop(2).map { it.toInt() }
+    val bursts = sizes.flatMap { size -> seeds.flatMap { seed -> Variant.entries.map { BalanceMeasurement(size).burst(seed, it) } } }
+    val drains = sizes.flatMap { size -> seeds.flatMap { seed -> listOf(false, true).map { BalanceMeasurement(size).drain(seed, it) } } }
+    val report = BalanceMeasurementReport(seeds.last, bursts, drains)
+    println(report.text())
+    File(args[0]).writeText(report.html())
+    exitProcess(if ((bursts.flatMap { it.breaches } + drains.flatMap { it.breaches }).isEmpty()) 0 else 1)
+}
--- a/src/test/kotlin/burlridge/sim/Environment.kt
+++ b/src/test/kotlin/burlridge/sim/Environment.kt
@@ -1,5 +1,6 @@
 package burlridge.sim
 
+import burlridge.intake.JobSpec
 import kotlin.random.Random
 
 /** What the stand-ins for workers, gangs and the cloud need of the world they live in: a simulated one, or real processes on loopback. */
@@ -23,6 +24,12 @@
     /** Whether what tasks save when they are stopped is lost. */
     val savesFail: Boolean get() = false
 
+    /** How long [worker] takes to fetch the image of [spec]. */
+    fun fetchS(
+        worker: Worker,
+        spec: JobSpec,
+    ): Double = random.nextDouble() * 2
+
     /** Where the worker of the cloud's machine [number] listens. */
     fun addressOf(number: Int): String = "10.1.0.$number:9000"
 
--- a/src/test/kotlin/burlridge/sim/Rules.kt
+++ b/src/test/kotlin/burlridge/sim/Rules.kt
@@ -26,6 +26,9 @@
     /** Seconds of its run that each task has saved. */
     val savedS = HashMap<String, Double>()
 
+    /** Seconds of runs that were stopped and not saved. */
+    var lostS = 0.0
+
     fun stopped(taskName: String) {
         if (taskName.substringBefore('/') !in abortAsked) onStop(taskName)
     }
--- a/src/test/kotlin/burlridge/sim/World.kt
+++ b/src/test/kotlin/burlridge/sim/World.kt
@@ -9,6 +9,7 @@
 import burlridge.core.OperatorSettings
 import burlridge.core.Outcome
 import burlridge.core.Settings
+import burlridge.intake.JobSpec
 import burlridge.peer.PeerMessage
 import kotlin.random.Random
 
@@ -82,6 +83,14 @@
 
     override var savesFail = false
 
+    /** In place of the usual time that a fetch takes. */
+    var fetchTime: ((Worker, JobSpec) -> Double)? = null
+
+    override fun fetchS(
+        worker: Worker,
+        spec: JobSpec,
+    ): Double = fetchTime?.invoke(worker, spec) ?: super.fetchS(worker, spec)
+
     override var word: (String) -> String = { it }
 
     /** How late a further copy of a report comes, to any member; null where none does. */
