--- a/src/test/kotlin/burlridge/balance/BalanceMeasurement.kt
+++ b/src/test/kotlin/burlridge/balance/BalanceMeasurement.kt
@@ -61,6 +61,7 @@
     private val machines: Int,
 ) {
     private var fetchedS = 0.0
+    private val submittedAt = HashMap<String, Double>()
 
     private fun world(
         seed: Int,
@@ -101,7 +102,7 @@
     ): List<JobSpec> =
         (0 until seconds * perSecond).map { i ->
             val spec = job(1000 + i, 4, runS = 8.0, jobClass = PREVIEW, team = "crew-y").copy(image = "img-preview", imageGb = 2.0)
-            clock.after(from + i / perSecond.toDouble()) { submit(spec) }
+            submitAt(from + i / perSecond.toDouble(), spec)
             spec
         }
 
@@ -119,8 +120,8 @@
         // Ten jobs of one team, half of what the fleet holds, then previews for a minute and a half.
         val share = (machines * CPUS * SWEEP_PART / SWEEP_JOBS).toInt()
         val sweep = (0 until SWEEP_JOBS).map { world.sweepJob(2 + it, share, runS = 20.0 + 5 * it) }
-        sweep.forEachIndexed { i, job -> world.clock.after(BURST_AT - 14.0 + i) { world.submit(job) } }
-        val previews = world.previews(BURST_AT - 14.0 + 5, 90, maxOf(1, machines / 50))
+        sweep.forEachIndexed { i, job -> world.submitAt(BURST_AT + i, job) }
+        val previews = world.previews(BURST_AT + 5, 90, maxOf(1, machines / 50))
         world.run(BURST_AT + 12.0)
         val load = loads(world)
         world.run(BURST_AT + 400.0)
@@ -130,7 +131,7 @@
             machines,
             load.max() / load.quantile(0.5).coerceAtLeast(1.0),
             variation(load),
-            mapOf(SWEEP to waits(world, sweep, BURST_AT), PREVIEW to waits(world, previews, BURST_AT + 5)),
+            mapOf(SWEEP to waits(world, sweep), PREVIEW to waits(world, previews)),
             fetchedS,
             world.history.stops.size,
             world.rules.lostS,
@@ -162,28 +163,26 @@
         return sqrt(values.sumOf { (it - mean) * (it - mean) } / values.size) / mean
     }
 
+    private fun World.submitAt(
+        at: Double,
+        job: JobSpec,
+    ) {
+        submittedAt[job.id] = at
+        clock.after(at - clock.now) { submit(job) }
+    }
+
     /** From a job's submission to each of its tasks' first start. */
     private fun waits(
         world: World,
         jobs: List<JobSpec>,
-        from: Double,
     ): List<Double> {
-        val perSecond = maxOf(1, machines / 50)
-        val submitted =
-            jobs
-                .mapIndexed { i, job ->
-                    job.id to
-                        if (job.jobClass ==
-                            SWEEP
-                        ) {
-                            from + i
-                        } else {
-                            from + i / perSecond.toDouble()
-                        }
-                }.toMap()
+        val wanted = jobs.mapTo(HashSet()) { it.id }
         val first = HashMap<String, Double>()
         world.history.starts.forEach { first.putIfAbsent(it.task, it.at) }
-        return first.mapNotNull { (task, at) -> submitted[task.substringBefore('/')]?.let { at - it } }
+        return first.filterKeys { it.substringBefore('/') in wanted }.map { (task, at) ->
+            at -
+                submittedAt.getValue(task.substringBefore('/'))
+        }
     }
 
     private fun breaches(
@@ -212,7 +211,7 @@
             machines,
             killLeader,
             drainedS,
-            waits(world, previews, 30.0),
+            waits(world, previews),
             world.history.stops.size,
             breaches(
                 world,
@@ -248,11 +247,30 @@
     }
 }
 
+/** Says on standard error what is done: at thousands of machines a run takes minutes. */
+private fun <T> told(
+    what: String,
+    work: () -> T,
+): T {
+    System.err.println(what)
+    return work()
+}
+
 internal fun main(args: Array<String>) {
     val seeds = 1..args[1].toInt()
     val sizes = args.drop(2).map { it.toInt() }
-    val bursts = sizes.flatMap { size -> seeds.flatMap { seed -> Variant.entries.map { BalanceMeasurement(size).burst(seed, it) } } }
-    val drains = sizes.flatMap { size -> seeds.flatMap { seed -> listOf(false, true).map { BalanceMeasurement(size).drain(seed, it) } } }
+    val bursts =
+        sizes.flatMap { size ->
+            seeds.flatMap { seed ->
+                Variant.entries.map { told("burst at $size, seed $seed, ${it.label}") { BalanceMeasurement(size).burst(seed, it) } }
+            }
+        }
+    val drains =
+        sizes.flatMap { size ->
+            seeds.flatMap { seed ->
+                listOf(false, true).map { told("drain at $size, seed $seed") { BalanceMeasurement(size).drain(seed, it) } }
+            }
+        }
     val report = BalanceMeasurementReport(seeds.last, bursts, drains)
     println(report.text())
     File(args[0]).writeText(report.html())
