--- a/src/main/kotlin/burlridge/balance/Balance.kt
+++ b/src/main/kotlin/burlridge/balance/Balance.kt
@@ -165,7 +165,13 @@
     /** A new leader may not know yet which machines there are, nor where those are that only claims name. */
     private fun isEmptied(drain: Drain): Boolean {
         if (drain in progress || !ports.fleet.isListed) return false
-        return workers.machines.values.none { it.type.isEmpty() || (drain.target is DrainTarget.InNetwork && it.address == null) }
+        // One that only claims name, and that has none left, is gone: nothing is ever heard of it again.
+        val withTasks =
+            workers.machines.values.filter {
+                !ports.ledger.claims.byMachine[it.id]
+                    .isNullOrEmpty()
+            }
+        return withTasks.none { it.type.isEmpty() || (drain.target is DrainTarget.InNetwork && it.address == null) }
     }
 
     private fun isOld(drain: Drain): Boolean = context.wallMs - drain.changedMs > retentionMs
