Placement scans no rooms twice where nobody balances load

Cause: for each job that found too little room two further scans over all machines with room were made, also with [balance] off. Change: both are made only where there is advice.

--- a/src/main/kotlin/burlridge/placement/Placement.kt
+++ b/src/main/kotlin/burlridge/placement/Placement.kt
@@ -222,14 +222,18 @@
             task = fill(job, task, group.flatMap { pool -> pool.rooms.filter { mayTake(job, it) } }, zones, plan)
         }
         val stopped = plan.claims.size >= ledger.claims.mostStarts || fit.overLimit(spec.team, plan.used(spec.team) + spec.size)
-        if (task >= 0 && spec.jobClass in waitClasses) task = fillCold(job, task, pools, zones, plan)
-        // Where room was left aside for a while, another that has waited longer may still take it.
-        val tookAll = takesAvoided(job) || pools.none { pool -> pool.rooms.any { it.avoided || it.startsLeft <= 0 } }
-        if (task >= 0 && !stopped && tookAll && !spec.oneZone && !spec.spread) {
+        if (task >= 0 && advice != null && spec.jobClass in waitClasses) task = fillCold(job, task, pools, zones, plan)
+        if (task >= 0 && !stopped && !spec.oneZone && !spec.spread && tookAllRoom(job, pools)) {
             plan.unplaceable += ResourceRequest(spec.types, spec.zone, spec.spot, spec.size)
         }
     }
 
+    /** Where room was left aside for a while, another job that has waited longer may still take it. Only advice leaves any aside. */
+    private fun tookAllRoom(
+        job: Job,
+        pools: List<Pool>,
+    ): Boolean = advice == null || takesAvoided(job) || pools.none { pool -> pool.rooms.any { it.avoided || it.startsLeft <= 0 } }
+
     /** What a class's aim for starting wants at once goes to machines that have just joined as well, however much they have got. */
     private fun fillCold(
         job: Job,
