--- a/src/main/kotlin/burlridge/worker/Workers.kt
+++ b/src/main/kotlin/burlridge/worker/Workers.kt
@@ -2,7 +2,6 @@
 
 import burlridge.core.Answer
 import burlridge.core.Context
-import burlridge.intake.JobSpec
 import burlridge.intent.Claim
 import burlridge.intent.Job
 import burlridge.intent.Ledger
