Review: start no controller once a test ends

Cause: the thread of case 1 that starts ended controllers again could start one in the moment in which the test ends, and leave it behind.

Change: starting and ending share a lock, and none starts after the end.

--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -1090,9 +1090,14 @@
             ProcessBuilder builder = new ProcessBuilder(command);
             builder.environment().put("LOG_LEVEL", System.getenv().getOrDefault("LOG_LEVEL", "info"));
             builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
-            Process started = builder.start();
+            Process started;
+            synchronized (processes) {
+                // None is started once the test ends, so that none is left behind.
+                if (stopping) return;
+                started = builder.start();
+                process = started;
+            }
             mayEnd = false;
-            process = started;
             World.this.log(name() + " started, process " + started.pid());
             Net.daemon("log-" + name(), () -> {
                 try (var reader = started.errorReader()) {
@@ -1166,8 +1171,10 @@
     }
 
     void stop() {
-        stopping = true;
-        for (Controller each : processes) if (each.process != null) each.process.destroyForcibly();
+        synchronized (processes) {
+            stopping = true;
+            for (Controller each : processes) if (each.process != null) each.process.destroyForcibly();
+        }
         try (var files = Files.list(directory)) {
             files.forEach(file -> file.toFile().delete());
         } catch (IOException e) {
