Refuse text that is not valid Unicode in submissions

Cause: JSON can escape any code unit of UTF-16. JobSpecCodec checked the length of a text alone, and the first code that needs valid Unicode, the measurement of the row in TransactionLimits, threw out of the step.

Evidence: the stack trace of the ended process, and SubmissionTest, which failed before with "IllegalArgumentException: Unpaired surrogate at index 38" from TransactionLimits.encodedBytes.

Change: lane, crew, bundle, yard and breeds must be valid Unicode; the answer is 400 with the name of the field, the same from every member. It is checked where the text is decoded, so no later code meets such text. Fields that the protocol does not know are ignored as before.

--- a/src/main/kotlin/burlridge/job/JobSpecCodec.kt
+++ b/src/main/kotlin/burlridge/job/JobSpecCodec.kt
@@ -1,6 +1,7 @@
 package burlridge.job
 
 import burlridge.json.Json
+import burlridge.json.isValidUnicode
 import com.fasterxml.jackson.databind.JsonNode
 
 /** The JSON of a job's specification, in submissions and in rows. */
@@ -91,7 +92,7 @@
         val types = fieldOrNull("breeds") ?: return null
         val isValid = types.isArray && types.size() <= MAX_TYPES && types.all { it.isTextual && it.asText().length <= MAX_TEXT_LENGTH }
         if (!isValid) throw InvalidJobException("breeds must be null or a list of at most $MAX_TYPES names")
-        return types.map { it.asText() }
+        return types.map { validUnicode("breeds", it.asText()) }
     }
 
     // --- fields
@@ -107,9 +108,15 @@
         if (text.isEmpty() || text.length > MAX_TEXT_LENGTH) {
             throw InvalidJobException("$name must have 1 to $MAX_TEXT_LENGTH characters")
         }
-        return text
+        return validUnicode(name, text)
     }
 
+    /** Returns [text], a value of the field [name], unless no row could hold it. */
+    private fun validUnicode(
+        name: String,
+        text: String,
+    ): String = if (text.isValidUnicode()) text else throw InvalidJobException("$name must be valid Unicode")
+
     private fun JsonNode.nonNegativeNumber(name: String): Double {
         val node = field(name)
         val value = node.asDouble()
