Never end the process over a transaction that UTF-8 cannot encode

Cause: TransactionLimits measures values with a function that throws on unpaired surrogates. Whatever way such text comes into a row (a name from the cloud, a row that is written again), the leader's step failed and the process ended; after the change of leader the next one met the same text.

Change: the check of a transaction reports unpaired surrogates as an exceeded limit. The transaction is not sent, the line "transaction exceeds store limit" names its keys, and the writers handle it as one that is too large. A value with such text fits no row.

--- a/src/main/kotlin/burlridge/store/TransactionLimits.kt
+++ b/src/main/kotlin/burlridge/store/TransactionLimits.kt
@@ -1,6 +1,7 @@
 package burlridge.store
 
 import burlridge.json.Json
+import burlridge.json.isValidUnicode
 import burlridge.settings.StoreLimits
 import com.fasterxml.jackson.databind.JsonNode
 import com.google.common.base.Utf8
@@ -20,6 +21,9 @@
     CONDITIONS("conditions"),
     VALUE_BYTES("value_bytes"),
     BODY_BYTES("body_bytes"),
+
+    /** Unpaired surrogates, which UTF-8 cannot encode; only the first is counted. */
+    UNPAIRED_SURROGATES("unpaired_surrogates"),
 }
 
 /** The single place that checks every transaction against the store's limits, including limits announced for the future. */
@@ -31,6 +35,8 @@
         transaction: Transaction,
         body: String,
     ): LimitExceeded? {
+        // Only valid Unicode has a length in bytes.
+        if (!body.isValidUnicode()) return LimitExceeded(TransactionLimit.UNPAIRED_SURROGATES, actual = 1, allowed = 0)
         val changes = transaction.changes.size
         val conditions = transaction.conditions.size
         val maxConditions = limits.changesPerTransaction * CONDITIONS_PER_CHANGE
@@ -51,7 +57,10 @@
     }
 
     /** Whether a row can hold [value]. */
-    fun fitsValue(value: JsonNode): Boolean = encodedBytes(value) <= limits.valueBytes
+    fun fitsValue(value: JsonNode): Boolean {
+        val text = Json.write(value)
+        return text.isValidUnicode() && Utf8.encodedLength(text) <= limits.valueBytes
+    }
 
     private fun encodedBytes(value: JsonNode): Int = Utf8.encodedLength(Json.write(value))
 
