Treat names that are not valid Unicode as missing, from workers and the cloud

Change: JsonStream.textOrNull returns null for such text, so that a field gets its default and a report without a machine's name is answered 400; such ids of rented machines, machine types and zones are left out; settings are refused with the name of the field.

--- a/src/main/kotlin/burlridge/fleet/CloudApiCodec.kt
+++ b/src/main/kotlin/burlridge/fleet/CloudApiCodec.kt
@@ -1,6 +1,7 @@
 package burlridge.fleet
 
 import burlridge.json.Json
+import burlridge.json.isValidUnicode
 
 /** The JSON of the cloud's API for rentals and returns. */
 internal object CloudApiCodec {
@@ -15,13 +16,14 @@
             },
         )
 
-    /** The ids of the machines that were rented; null if [body] does not list them. */
+    /** The ids of the machines that were rented, except those that no row could hold; null if [body] does not list them. */
     fun decodeRentedIds(body: String): List<String>? =
         Json
             .parseOrNull(body)
             ?.get("drovers")
             ?.takeIf { it.isArray }
             ?.map { it.asText() }
+            ?.filter { it.isValidUnicode() }
 
     fun returnRequest(ids: List<String>): String =
         Json.write(Json.obj { putArray("drovers").also { array -> ids.forEach { array.add(it) } } })
--- a/src/main/kotlin/burlridge/json/JsonStream.kt
+++ b/src/main/kotlin/burlridge/json/JsonStream.kt
@@ -49,9 +49,9 @@
     }
 }
 
-/** Returns the string at the parser's position; skips a value of another type and returns null. */
+/** Returns the string at the parser's position; null if it is not valid Unicode. Skips a value of another type and returns null. */
 internal fun JsonParser.textOrNull(): String? {
-    if (currentToken() == JsonToken.VALUE_STRING) return text
+    if (currentToken() == JsonToken.VALUE_STRING) return text.takeIf { it.isValidUnicode() }
     skipChildren()
     return null
 }
--- a/src/main/kotlin/burlridge/settings/SettingsParser.kt
+++ b/src/main/kotlin/burlridge/settings/SettingsParser.kt
@@ -1,6 +1,7 @@
 package burlridge.settings
 
 import burlridge.json.Json
+import burlridge.json.isValidUnicode
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import java.io.IOException
@@ -123,12 +124,13 @@
 private fun JsonNode.text(
     name: String,
     prefix: String,
-): String =
-    required(name, prefix)
-        .takeIf {
-            it.isTextual &&
-                it.asText().isNotEmpty()
-        }?.asText() ?: throw InvalidSettingsException("$prefix$name must be a non-empty text")
+): String {
+    val text =
+        required(name, prefix).textValue()?.takeIf { it.isNotEmpty() }
+            ?: throw InvalidSettingsException("$prefix$name must be a non-empty text")
+    if (!text.isValidUnicode()) throw InvalidSettingsException("$prefix$name must be valid Unicode")
+    return text
+}
 
 private fun JsonNode.positiveNumber(
     name: String,
--- a/src/test/kotlin/burlridge/fleet/MachinePageTest.kt
+++ b/src/test/kotlin/burlridge/fleet/MachinePageTest.kt
@@ -30,4 +30,12 @@
         val page = """{"drovers":[7,{"id":5,"addr":"x","breed":null,"yard":[],"loaners":1,"standing":{},"ageS":"old"}],"truncated":"yes"}"""
         assertEquals(MachinePage(listOf(ListedMachine("")), isTruncated = false), MachinePage.decode(page))
     }
+
+    /** Guards against a machine whose name ends the leader with the first row that is stored for it. */
+    @Test
+    fun `a text that is not valid Unicode has its default`() {
+        val page = """{"drovers":[{"id":"m-\ud83d","addr":"\ud83d:80","breed":"\ude00","yard":"\ud83d","standing":"\ud83d"}]}"""
+        assertEquals(MachinePage(listOf(ListedMachine("")), isTruncated = false), MachinePage.decode(page))
+        assertEquals(listOf("m-2"), CloudApiCodec.decodeRentedIds("""{"drovers":["m-\ud83d","m-2"]}"""))
+    }
 }
--- a/src/test/kotlin/burlridge/settings/SettingsTest.kt
+++ b/src/test/kotlin/burlridge/settings/SettingsTest.kt
@@ -25,6 +25,7 @@
             "params.workers.lease_s must be a number above 0",
             errorMessageOf(validSettings.replace("\"lease_s\":24.0", "\"lease_s\":-1")),
         )
+        assertEquals("member must be valid Unicode", errorMessageOf(validSettings.replace("\"drover-0\"", "\"\\ud83d\"")))
         assertEquals("params is missing", errorMessageOf(validSettings.replace("\"params\"", "\"param\"")))
         assertEquals("the settings are not a JSON object", errorMessageOf("[]"))
     }
--- a/src/test/kotlin/burlridge/worker/HeartbeatTest.kt
+++ b/src/test/kotlin/burlridge/worker/HeartbeatTest.kt
@@ -48,6 +48,16 @@
         malformed.forEach { assertNull(Heartbeat.decode(it), it.take(60)) }
     }
 
+    /** Guards against a machine whose name ends the leader with the first allocation that is stored for it. */
+    @Test
+    fun `a text that is not valid Unicode gets its default value, and a machine of such a name is rejected`() {
+        assertNull(Heartbeat.decode("""{"drover":"m-\ud83d"}"""))
+        val body = """{"drover":"m-1","addr":"a\ud83d:80","breed":"\ud83d","yard":"\ude00","pieces":[{"piece":"\ud83d"}],"\ud83d":1}"""
+        val task = TaskStatus("", 0, TaskState.Unrecognized(""), null, saved = false)
+        assertEquals(Heartbeat("m-1", tasks = mapOf(task.key to task)), Heartbeat.decode(body))
+        assertEquals("\ud83d\ude00", Heartbeat.decode("""{"drover":"\ud83d\ude00"}""")?.machine)
+    }
+
     @Test
     fun `a field of the wrong type gets its default value`() {
         val wrongTypes =
