End the reading of a truncated machine list that names no machine

Seen: with a truncated page whose machines have no usable name, the leader asked for the first page 4,917 times in 30 simulated seconds and kept the machines of every page in memory.

Cause: the next page is asked for after the last machine's name, and an empty one became the request for the first page.

Change: the next page follows the last name of the page. Without any, the reading ends, and the incomplete list is not applied, since machines that it lacks would be removed.

--- a/src/main/kotlin/burlridge/fleet/InventorySync.kt
+++ b/src/main/kotlin/burlridge/fleet/InventorySync.kt
@@ -55,24 +55,21 @@
                 return@listMachines
             }
             found.addAll(page.machines)
-            if (page.isTruncated && page.machines.isNotEmpty()) {
-                readPage(
-                    page.machines
-                        .last()
-                        .id
-                        .ifEmpty { null },
-                    found,
-                    isStillLeading,
-                )
-            } else {
-                isReading = false
-                pageCount = (found.size + PAGE_SIZE - 1) / PAGE_SIZE
-                applyList(found)
+            val lastId = page.machines.lastOrNull { it.id.isNotEmpty() }?.id
+            when {
+                !page.isTruncated || page.machines.isEmpty() -> applyList(found)
+
+                lastId != null -> readPage(lastId, found, isStillLeading)
+
+                // No name to continue after. An incomplete list must not be applied: machines that it lacks would be removed.
+                else -> isReading = false
             }
         }
     }
 
     private fun applyList(found: List<ListedMachine>) {
+        isReading = false
+        pageCount = (found.size + PAGE_SIZE - 1) / PAGE_SIZE
         hasList = true
         val ids = HashSet<String>()
         for (listed in found) {
--- a/src/test/kotlin/burlridge/simulation/CloudService.kt
+++ b/src/test/kotlin/burlridge/simulation/CloudService.kt
@@ -36,6 +36,9 @@
     var bootSeconds: () -> Double = { 5 + cluster.random.nextDouble() * 10 }
     var rentalRequests = ArrayList<String>()
 
+    /** Replaces each page of the machine list before it is sent. */
+    var transformMachinePage: (String) -> String = { it }
+
     fun worker(id: String): Worker? = machines[id]?.worker
 
     fun workerAt(address: String): Worker? = workersByAddress[address]?.takeIf { machines[it.id]?.worker === it }
@@ -63,7 +66,7 @@
             }
 
             target.startsWith("/rentals?") -> {
-                reply(200, list(target.substringAfter('?')))
+                reply(200, transformMachinePage(list(target.substringAfter('?'))))
             }
 
             else -> {
