Count only the latest attempt of each task when a new leader loads its rows

Cause: two attempts of a task may stand in rows, the earlier one not yet marked as lost. Both were added to the usage of team and machine, but on the same machine one replaced the other among the open allocations. Releasing the earlier one asked the job for its latest attempt, and returned early for a job that has ended or can't be read. What is not open by machine is never released, so its share was lost for the whole term.

Evidence: the new audit of the simulation compares each second, for every member, what is counted for each team, machine and zone with the attempts that may still run.

Change: loading a row adds nothing to the index. Once all rows are loaded, the latest attempt of each task is determined from the rows alone, and only that is added; earlier ones end, whatever has become of their job. The index is never given two attempts of a task, so the pass that restored the right one is gone.

--- a/src/main/kotlin/burlridge/allocation/Allocation.kt
+++ b/src/main/kotlin/burlridge/allocation/Allocation.kt
@@ -44,6 +44,13 @@
     var isStopAcknowledged: Boolean = false
     val hasEnded: Boolean get() = phase == AllocationPhase.ENDED
 
+    /** Ends this allocation; a loss is to be marked in its row. */
+    fun end(isLost: Boolean) {
+        phase = AllocationPhase.ENDED
+        this.isLost = isLost
+        if (isLost) batch?.isStale = true
+    }
+
     private companion object {
         /** A time earlier than any real one. */
         const val NEVER = -1e9
--- a/src/main/kotlin/burlridge/allocation/AllocationIndex.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationIndex.kt
@@ -13,7 +13,9 @@
 
     /** The resources that the open allocations of each team use. */
     val usageByTeam: HashMap<String, Resources> = HashMap()
-    private val usageByMachine = HashMap<String, Resources>()
+
+    /** The resources that the open allocations on each machine use. */
+    val usageByMachine: HashMap<String, Resources> = HashMap()
 
     /** The resources that the open allocations on [machine] use. */
     fun usageOn(machine: String): Resources = usageByMachine[machine] ?: Resources.NONE
@@ -25,7 +27,7 @@
         usageByMachine.clear()
     }
 
-    /** Reserves the resources of [allocation], and makes it the open allocation of its task. */
+    /** Reserves the resources of [allocation], and makes it the open allocation of its task, which must have no other. */
     fun add(allocation: Allocation) {
         jobs[allocation.job]?.let { job ->
             job.allocations.put(allocation.task, allocation)
@@ -33,7 +35,7 @@
             job.allocatedAt = context.now
             job.recordAttempt(allocation)
         }
-        putOnMachine(allocation)
+        byMachine.getOrPut(allocation.machine) { LinkedHashMap() }[allocation.taskName] = allocation
         usageByTeam.merge(allocation.charge.team, allocation.charge.resources, Resources::plus)
         usageByMachine.merge(allocation.machine, allocation.charge.resources, Resources::plus)
     }
@@ -47,9 +49,7 @@
         isLost: Boolean,
     ) {
         if (allocation.hasEnded) return
-        allocation.phase = AllocationPhase.ENDED
-        allocation.isLost = isLost
-        if (isLost) allocation.batch?.isStale = true
+        allocation.end(isLost)
         byMachine[allocation.machine]?.let { if (it[allocation.taskName] === allocation) it.remove(allocation.taskName) }
         jobs[allocation.job]?.let { job ->
             if (job.allocations.get(allocation.task) === allocation) {
@@ -78,16 +78,9 @@
         job.isAbortingAttempt = false
     }
 
-    /** Makes [allocation], whose resources are reserved already, the open allocation of its task. */
-    fun restore(allocation: Allocation) {
-        jobs[allocation.job]?.let {
-            it.allocations.put(allocation.task, allocation)
-            it.doneOrAllocated.set(allocation.task)
-        }
-        putOnMachine(allocation)
-    }
-
-    private fun putOnMachine(allocation: Allocation) {
-        byMachine.getOrPut(allocation.machine) { LinkedHashMap() }[allocation.taskName] = allocation
+    /** Removes the entries of [machine], which no longer exists and has no open allocations. */
+    fun removeMachine(machine: String) {
+        byMachine.remove(machine)
+        usageByMachine.remove(machine)
     }
 }
--- a/src/main/kotlin/burlridge/allocation/AllocationReconciler.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationReconciler.kt
@@ -19,33 +19,29 @@
         batch.allocations.forEach { allocation ->
             allocation.batch = batch
             allocation.isPersisted = true
-            if (allocation.isLost) {
-                allocation.phase = AllocationPhase.ENDED
-                jobs[allocation.job]?.recordAttempt(allocation)
-            } else {
-                index.add(allocation)
-            }
+            if (allocation.isLost) allocation.phase = AllocationPhase.ENDED
+            jobs[allocation.job]?.recordAttempt(allocation)
         }
     }
 
-    /** Releases outdated attempts: only the latest attempt of a task can be open, and none if the task is done. */
+    /** Adds the attempts that may still run to the index: of each task the latest one, unless it was lost or its task is done. */
     fun reconcile() {
-        for (batch in batches.all) {
-            batch.allocations.forEach { releaseIfSuperseded(it) }
-        }
-        // Rows are not loaded in chronological order: an earlier attempt that was loaded last has replaced the later one in the index.
-        for (batch in batches.all) {
-            batch.allocations.filter { !it.hasEnded }.forEach { index.restore(it) }
+        val allocations = batches.all.flatMap { it.allocations }
+        // Determined from the rows alone, since a job that has ended, or cannot be read, is not among the jobs.
+        val latestAttempts = allocations.groupingBy { it.taskName }.fold(0) { latest, allocation -> maxOf(latest, allocation.attempt) }
+        for (allocation in allocations.filter { !it.hasEnded }) {
+            val isSuperseded = allocation.attempt < latestAttempts.getValue(allocation.taskName)
+            if (isSuperseded) allocation.end(isLost = true) else index.add(allocation)
         }
+        releaseDone()
         reconcileGangs()
     }
 
-    private fun releaseIfSuperseded(allocation: Allocation) {
-        if (allocation.hasEnded) return
-        val job = jobs[allocation.job] ?: return
-        when {
-            allocation.attempt < job.lastAttemptByTask.get(allocation.task) -> index.release(allocation, isLost = true)
-            job.persistedDone.get(allocation.task) -> index.release(allocation, isLost = false)
+    private fun releaseDone() {
+        for (job in jobs.values) {
+            job.allocations.values
+                .filter { job.persistedDone.get(it.task) }
+                .forEach { index.release(it, isLost = false) }
         }
     }
 
--- a/src/main/kotlin/burlridge/allocation/AllocationTable.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationTable.kt
@@ -25,6 +25,12 @@
     /** The resources that the open allocations of each team use. */
     val usageByTeam: Map<String, Resources> get() = index.usageByTeam
 
+    /** The resources that the open allocations on each machine use. */
+    val usageByMachine: Map<String, Resources> get() = index.usageByMachine
+
+    /** The allocations of all stored batches, and of those that are being written, that have not ended. */
+    val notEnded: List<Allocation> get() = batches.all.flatMap { batch -> batch.allocations.filter { !it.hasEnded } }
+
     /** Number of batches whose write has no known outcome yet. */
     val pendingBatches: Int get() = writer.pendingBatches
 
@@ -63,10 +69,8 @@
     /** Aborts the current attempt of the gang [job], which has lost a task. */
     fun abortAttempt(job: Job) = index.abortAttempt(job)
 
-    /** Removes the entry of [machine], which no longer exists and has no open allocations. */
-    fun removeMachine(machine: String) {
-        index.byMachine.remove(machine)
-    }
+    /** Removes the entries of [machine], which no longer exists and has no open allocations. */
+    fun removeMachine(machine: String) = index.removeMachine(machine)
 
     /** Loads a batch row that a new leader has read. */
     fun loadBatch(row: Row) = reconciler.load(row)
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -38,7 +38,9 @@
     private val placementTimer = PlacementTimer(context)
     private val store = StoreClient(context)
     private val leadership = Leadership(context, store, this)
-    private val registry = JobRegistry(context, store, leadership)
+
+    /** The jobs and allocations of this member while it leads; empty otherwise. */
+    val registry: JobRegistry = JobRegistry(context, store, leadership)
     private val peers = PeerRequests(context)
     private val workers = WorkerManager(context, leadership, registry, peers, placementTimer::request)
     private val fleet = Fleet(context, store, leadership, registry, workers)
--- a/src/test/kotlin/burlridge/simulation/InvariantChecker.kt
+++ b/src/test/kotlin/burlridge/simulation/InvariantChecker.kt
@@ -218,6 +218,9 @@
     fun hasCompleted(taskName: String): Boolean =
         completed[taskName.substringBefore('/')]?.contains(taskName.substringAfter('/').toInt()) == true
 
+    /** Reports what a leader counts as used and is not, or the reverse. Called periodically, for every member. */
+    fun checkAllocations(audit: AllocationAudit) = audit.differences().forEach { addViolation("miscounted", it) }
+
     /** Reports tasks that still run [cancelSeconds] after the cancellation of their job. Called periodically. */
     fun checkCancelledTasks() {
         for ((taskName, machines) in placements) {
--- a/src/test/kotlin/burlridge/simulation/InvariantCheckerTest.kt
+++ b/src/test/kotlin/burlridge/simulation/InvariantCheckerTest.kt
@@ -124,4 +124,20 @@
         invariants.answered(spec.id, 200, "running", false)
         assertEquals(listOf("forgotten", "forgotten", "invented", "not_done", "went_back"), violations())
     }
+
+    @Test
+    fun `a leader that counts an attempt which has ended as used by its team, machine and zone is reported`() {
+        val job = cluster.job(2, 1, runSeconds = 60.0)
+        cluster.clock.after(5.0) { cluster.submit(job) }
+        cluster.run(30.0)
+        assertEquals(emptyList<String>(), cluster.invariants.violations)
+        val registry = cluster.registry(cluster.leader().orEmpty()) ?: error("no leader")
+        registry.allocations.notEnded
+            .single()
+            .end(isLost = true)
+        invariants.checkAllocations(AllocationAudit(registry))
+        val reported = invariants.violations.map { it.substringAfter(": ").substringBefore(' ') }
+        assertEquals(List(4) { "miscounted" }, violations())
+        assertEquals(listOf("j-000002/0", "team", "machine", "zones"), reported)
+    }
 }
--- a/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
@@ -1,5 +1,6 @@
 package burlridge.simulation
 
+import burlridge.allocation.JobRegistry
 import burlridge.app.Controller
 import burlridge.core.CallOutcome
 import burlridge.core.Effect
@@ -197,6 +198,9 @@
 
     fun counters(name: String): Map<String, Long> = controllers[name]?.counters.orEmpty()
 
+    /** The jobs and allocations of [name]; null while it is down. */
+    fun registry(name: String): JobRegistry? = controllers[name]?.registry
+
     fun leader(): String? = members.firstOrNull { name -> controllers[name]?.isActiveLeader == true }
 
     private fun tick(
@@ -591,6 +595,7 @@
         while (clock.now < until) {
             clock.runUntil(minOf(until, clock.now + 1.0))
             invariants.checkCancelledTasks()
+            members.mapNotNull { registry(it) }.forEach { invariants.checkAllocations(AllocationAudit(it)) }
         }
     }
 }
