Use one FencedStore for all rows that only a leader writes

Cause: rentals, drains and moves repeated what allocation's FencedStore does: the condition on the term, the repetition until the outcome is known, and stepping down when the term is superseded.

Change: FencedStore moves to leadership, which owns the term, and fleet and balance use it. No behaviour changes.

--- a/src/main/kotlin/burlridge/allocation/AllocationBatchCleaner.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationBatchCleaner.kt
@@ -1,6 +1,7 @@
 package burlridge.allocation
 
 import burlridge.core.StepContext
+import burlridge.leadership.FencedStore
 import burlridge.leadership.Leadership
 import burlridge.store.Change
 import burlridge.store.Condition
--- a/src/main/kotlin/burlridge/balance/DrainRegistry.kt
+++ b/src/main/kotlin/burlridge/balance/DrainRegistry.kt
@@ -1,6 +1,7 @@
 package burlridge.balance
 
 import burlridge.core.StepContext
+import burlridge.leadership.FencedStore
 import burlridge.leadership.Leadership
 import burlridge.store.Change
 import burlridge.store.Condition
@@ -8,7 +9,6 @@
 import burlridge.store.RequestPriority
 import burlridge.store.Row
 import burlridge.store.StoreClient
-import burlridge.store.Transaction
 import burlridge.store.TransactionResult
 
 /** The result of a requested change of a drain. */
@@ -45,6 +45,7 @@
         val callbacks = ArrayList<(DrainChange) -> Unit>()
     }
 
+    private val fenced = FencedStore(store, leadership)
     private val entries = LinkedHashMap<String, Entry>()
 
     /** Keys of the rows that cannot be decoded; these rows are left unchanged. */
@@ -142,15 +143,14 @@
         next: Drain,
     ) {
         entry.pendingWrite = next
-        val transaction =
-            Transaction(
-                listOf(leadership.fenceCondition(), Condition(next.rowKey, next.modRevision)),
-                listOf(Change.Put(next.rowKey, next.encode())),
-            )
-        store.commitUntilKnown(transaction, RequestPriority.CLAIM, leadership.whileLeading(leadership.term)) { result ->
+        fenced.commit(
+            listOf(Condition(next.rowKey, next.modRevision)),
+            listOf(Change.Put(next.rowKey, next.encode())),
+            RequestPriority.CLAIM,
+        ) { result ->
             when {
                 result is TransactionResult.Committed -> onWritten(entry, next.copy(modRevision = result.revision))
-                result is TransactionResult.Conflict && Leadership.TERM_ROW_KEY in result.failed -> leadership.stepDownOnSupersededTerm()
+                result is TransactionResult.Conflict && fenced.isFenced(result) -> fenced.stepDown()
                 result is TransactionResult.Conflict -> readBack(entry, next)
                 else -> finishWrite(entry, entry.drain, DrainChange.Refused("its row is not taken by the state service"))
             }
@@ -206,14 +206,13 @@
     fun deleteRow(drain: Drain) {
         val entry = entries[drain.rowKey]?.takeIf { it.pendingWrite == null && it.drain == drain } ?: return
         entry.pendingWrite = drain
-        val transaction =
-            Transaction(
-                listOf(leadership.fenceCondition(), Condition(drain.rowKey, drain.modRevision)),
-                listOf(Change.Delete(drain.rowKey)),
-            )
-        store.commitUntilKnown(transaction, RequestPriority.CLEANUP, leadership.whileLeading(leadership.term)) { result ->
+        fenced.commit(
+            listOf(Condition(drain.rowKey, drain.modRevision)),
+            listOf(Change.Delete(drain.rowKey)),
+            RequestPriority.CLEANUP,
+        ) { result ->
             when {
-                result is TransactionResult.Conflict && Leadership.TERM_ROW_KEY in result.failed -> leadership.stepDownOnSupersededTerm()
+                result is TransactionResult.Conflict && fenced.isFenced(result) -> fenced.stepDown()
 
                 // Only this leader writes the row, so if the revision differs, an earlier copy of this write has deleted it.
                 else -> finishWrite(entry, null, DrainChange.Busy)
--- a/src/main/kotlin/burlridge/balance/MoveBatchWriter.kt
+++ b/src/main/kotlin/burlridge/balance/MoveBatchWriter.kt
@@ -1,23 +1,24 @@
 package burlridge.balance
 
 import burlridge.core.StepContext
+import burlridge.leadership.FencedStore
 import burlridge.leadership.Leadership
 import burlridge.store.Change
 import burlridge.store.Condition
 import burlridge.store.RequestPriority
 import burlridge.store.StoreClient
-import burlridge.store.Transaction
 import burlridge.store.TransactionResult
 
 /** Writes and deletes the rows of moves, fenced by the leader's term. */
 internal class MoveBatchWriter(
     private val context: StepContext,
-    private val store: StoreClient,
+    store: StoreClient,
     private val leadership: Leadership,
     private val moves: MoveRegistry,
     /** Called for each batch whose row has become durable. */
     private val onDurable: (MoveBatch) -> Unit,
 ) {
+    private val fenced = FencedStore(store, leadership)
     private var nextBatchNumber = 0L
 
     /** Whether the write of a row is in flight; no further moves are planned meanwhile. */
@@ -37,12 +38,9 @@
     /** Writes the row of [batch]. */
     fun write(batch: MoveBatch) {
         isWriting = true
-        val transaction =
-            Transaction(
-                listOf(leadership.fenceCondition(), Condition(batch.key, 0)),
-                listOf(Change.Put(batch.key, batch.encode())),
-            )
-        store.commitUntilKnown(transaction, RequestPriority.CLAIM, leadership.whileLeading(leadership.term)) { onWritten(batch, it) }
+        fenced.commit(listOf(Condition(batch.key, 0)), listOf(Change.Put(batch.key, batch.encode())), RequestPriority.CLAIM) {
+            onWritten(batch, it)
+        }
     }
 
     private fun onWritten(
@@ -51,8 +49,8 @@
     ) {
         isWriting = false
         when {
-            result is TransactionResult.Conflict && Leadership.TERM_ROW_KEY in result.failed -> {
-                leadership.stepDownOnSupersededTerm()
+            result is TransactionResult.Conflict && fenced.isFenced(result) -> {
+                fenced.stepDown()
             }
 
             // No other leader writes this key, so a conflict means that an earlier copy of the same write was executed.
@@ -73,9 +71,8 @@
         val unusedBatches = moves.allBatches.filterNot(isNeeded).take(context.settings.storeLimits.changesPerTransaction)
         if (unusedBatches.isEmpty()) return
         unusedBatches.forEach { it.isBeingRemoved = true }
-        val transaction = Transaction(listOf(leadership.fenceCondition()), unusedBatches.map { Change.Delete(it.key) })
-        store.commitUntilKnown(transaction, RequestPriority.CLEANUP, leadership.whileLeading(leadership.term)) { result ->
-            if (result is TransactionResult.Committed) unusedBatches.forEach(moves::removeBatch) else leadership.stepDownOnSupersededTerm()
+        fenced.commit(emptyList(), unusedBatches.map { Change.Delete(it.key) }, RequestPriority.CLEANUP) { result ->
+            if (result is TransactionResult.Committed) unusedBatches.forEach(moves::removeBatch) else fenced.stepDown()
         }
     }
 }
--- a/src/main/kotlin/burlridge/fleet/RentalRows.kt
+++ b/src/main/kotlin/burlridge/fleet/RentalRows.kt
@@ -1,38 +1,38 @@
 package burlridge.fleet
 
+import burlridge.leadership.FencedStore
 import burlridge.leadership.Leadership
 import burlridge.store.Change
 import burlridge.store.Condition
 import burlridge.store.RequestPriority
 import burlridge.store.StoreClient
-import burlridge.store.Transaction
 import burlridge.store.TransactionResult
 
 /** Writes and deletes the rows of rentals, under the leader's fencing condition. */
 internal class RentalRows(
-    private val store: StoreClient,
+    store: StoreClient,
     private val leadership: Leadership,
 ) {
+    private val fenced = FencedStore(store, leadership)
+
     /** Writes the row of [rental]; [onResult] receives whether it exists now, and is not called if leadership has ended. */
     fun write(
         rental: Rental,
         onResult: (isWritten: Boolean) -> Unit,
     ) {
-        val transaction =
-            Transaction(
-                listOf(leadership.fenceCondition(), Condition(rental.rowKey, 0)),
-                listOf(Change.Put(rental.rowKey, RentalRowCodec.encode(rental, leadership.term))),
-            )
-        val isStillLeading = leadership.whileLeading(leadership.term)
-        store.commitUntilKnown(transaction, RequestPriority.CLAIM, isStillLeading) { result ->
+        fenced.commit(
+            listOf(Condition(rental.rowKey, 0)),
+            listOf(Change.Put(rental.rowKey, RentalRowCodec.encode(rental, leadership.term))),
+            RequestPriority.CLAIM,
+        ) { result ->
             when {
                 result is TransactionResult.Committed -> {
                     rental.modRevision = result.revision
                     onResult(true)
                 }
 
-                result is TransactionResult.Conflict && Leadership.TERM_ROW_KEY in result.failed -> {
-                    leadership.stepDownOnSupersededTerm()
+                result is TransactionResult.Conflict && fenced.isFenced(result) -> {
+                    fenced.stepDown()
                 }
 
                 // An earlier copy of this transaction was applied.
@@ -54,13 +54,7 @@
         onDeleted: () -> Unit,
     ) {
         rental.modRevision = 0
-        store.commitUntilKnown(
-            Transaction(listOf(leadership.fenceCondition()), listOf(Change.Delete(rental.rowKey))),
-            RequestPriority.CLEANUP,
-            leadership.whileLeading(leadership.term),
-        ) {
-            onDeleted()
-        }
+        fenced.commit(emptyList(), listOf(Change.Delete(rental.rowKey)), RequestPriority.CLEANUP) { onDeleted() }
     }
 
     private companion object {
--- a/src/main/kotlin/burlridge/allocation/FencedStore.kt
+++ b/src/main/kotlin/burlridge/leadership/FencedStore.kt
@@ -1,6 +1,5 @@
-package burlridge.allocation
+package burlridge.leadership
 
-import burlridge.leadership.Leadership
 import burlridge.store.Change
 import burlridge.store.Condition
 import burlridge.store.RequestPriority
