Remove three repetitions: a start limit, HTTP statuses, an order by identity

Cause: SlowStart repeated MachineCapacity's constant for unlimited starts, and both had to be equal; MachineRequests had status codes of its own; broken gangs were released after a change of leader in the order of a map keyed by identity, which may differ from process to process.

Change: one constant, HttpStatus, and a map in order of insertion.

--- a/src/main/kotlin/burlridge/allocation/AllocationReconciler.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationReconciler.kt
@@ -61,7 +61,7 @@
     }
 
     private fun latestGangAttempts(): Map<Job, List<Allocation>> {
-        val attempts = HashMap<Job, ArrayList<Allocation>>()
+        val attempts = LinkedHashMap<Job, ArrayList<Allocation>>()
         for (batch in batches.all) {
             for (allocation in batch.allocations) {
                 val job = jobs[allocation.job]?.takeIf { it.spec.gang && allocation.attempt == it.highestAttempt } ?: continue
--- a/src/main/kotlin/burlridge/balance/MachineRequests.kt
+++ b/src/main/kotlin/burlridge/balance/MachineRequests.kt
@@ -1,6 +1,7 @@
 package burlridge.balance
 
 import burlridge.core.HttpResponse
+import burlridge.core.HttpStatus
 import burlridge.core.StepContext
 import burlridge.json.Json
 import burlridge.leadership.Leadership
@@ -66,8 +67,8 @@
                         )
                     }
 
-                    response.status == NOT_FOUND -> {
-                        HttpResponse.error(CONFLICT, "the leader $leader has [balance] switched off")
+                    response.status == HttpStatus.NOT_FOUND -> {
+                        HttpResponse.error(HttpStatus.CONFLICT, "the leader $leader has [balance] switched off")
                     }
 
                     else -> {
@@ -83,15 +84,20 @@
         body: String,
         respond: (HttpResponse) -> Unit,
     ) {
-        if (path == STATUS) return respond(HttpResponse(OK, Json.write(balance.report().encode())))
-        if (path.startsWith(EXPLAIN)) return respond(HttpResponse(OK, Json.write(balance.explain(path.removePrefix(EXPLAIN)))))
+        if (path == STATUS) return respond(HttpResponse(HttpStatus.OK, Json.write(balance.report().encode())))
+        if (path.startsWith(EXPLAIN)) return respond(HttpResponse(HttpStatus.OK, Json.write(balance.explain(path.removePrefix(EXPLAIN)))))
         val request = Json.parseOrNull(body)
-        if (isStale(request)) return respond(HttpResponse.error(CONFLICT, "this was asked too long ago and is not carried out; ask again"))
+        if (isStale(
+                request,
+            )
+        ) {
+            return respond(HttpResponse.error(HttpStatus.CONFLICT, "this was asked too long ago and is not carried out; ask again"))
+        }
         val target =
             try {
                 DrainTarget.parse(request)
             } catch (e: InvalidDrainTargetException) {
-                return respond(HttpResponse.error(BAD_REQUEST, e.message.orEmpty()))
+                return respond(HttpResponse.error(HttpStatus.BAD_REQUEST, e.message.orEmpty()))
             }
         if (path == UNDRAIN) {
             balance.undrain(target) { respond(toResponse(it)) }
@@ -110,9 +116,20 @@
 
     private fun toResponse(change: DrainChange): HttpResponse =
         when (change) {
-            is DrainChange.Refused -> HttpResponse.error(CONFLICT, change.reason)
-            is DrainChange.Busy -> HttpResponse.unavailable("another change of this drain is being written; ask again")
-            is DrainChange.Written -> HttpResponse(OK, Json.write(Json.obj { DrainReport(change.drain, progress = null).encode(this) }))
+            is DrainChange.Refused -> {
+                HttpResponse.error(HttpStatus.CONFLICT, change.reason)
+            }
+
+            is DrainChange.Busy -> {
+                HttpResponse.unavailable("another change of this drain is being written; ask again")
+            }
+
+            is DrainChange.Written -> {
+                HttpResponse(
+                    HttpStatus.OK,
+                    Json.write(Json.obj { DrainReport(change.drain, progress = null).encode(this) }),
+                )
+            }
         }
 
     /**
@@ -149,10 +166,6 @@
 
         /** The time for which a client waits for the response, plus the tolerated clock skew. */
         private const val MAX_REQUEST_AGE_MILLIS = 7_000
-        private const val OK = 200
-        private const val BAD_REQUEST = 400
-        private const val NOT_FOUND = 404
-        private const val CONFLICT = 409
         private const val WRITE_TIMEOUT_SECONDS = 3.0
         private const val FORWARD_TIMEOUT_SECONDS = 4.0
     }
--- a/src/main/kotlin/burlridge/balance/SlowStart.kt
+++ b/src/main/kotlin/burlridge/balance/SlowStart.kt
@@ -5,6 +5,7 @@
 import burlridge.allocation.JobRegistry
 import burlridge.core.StepContext
 import burlridge.job.JobSpec
+import burlridge.placement.MachineCapacity
 import burlridge.settings.BalanceSettings
 import burlridge.worker.Machine
 import burlridge.worker.TaskState
@@ -23,9 +24,9 @@
 ) {
     private val coldSeconds = settings.coldReports * context.settings.workers.reportSeconds
 
-    /** Number of tasks that may still be started on [machine] now; [UNLIMITED_STARTS] once it has been up for a while. */
+    /** Number of tasks that may still be started on [machine] now; [MachineCapacity.UNLIMITED_STARTS] once it has been up for a while. */
     fun remainingStarts(machine: Machine): Int {
-        if (!isCold(machine)) return UNLIMITED_STARTS
+        if (!isCold(machine)) return MachineCapacity.UNLIMITED_STARTS
         val running = machine.reportedTasks.values.count { it.state == TaskState.Known.RUNNING }
         return (maxOf(settings.coldStarts, running * STARTS_PER_RUNNING_TASK) - startingAllocations(machine).size).coerceAtLeast(0)
     }
@@ -70,13 +71,12 @@
         }
     }
 
-    internal companion object {
-        const val UNLIMITED_STARTS: Int = Int.MAX_VALUE
-        private const val STARTS_PER_RUNNING_TASK = 2
-        private const val BOOT_TIME_MARGIN = 1.5
-        private const val LONG_AGO = -1e9
+    private companion object {
+        const val STARTS_PER_RUNNING_TASK = 2
+        const val BOOT_TIME_MARGIN = 1.5
+        const val LONG_AGO = -1e9
 
         /** On average, half of a fetch in progress remains. */
-        private const val MEAN_REMAINING_FETCH_SHARE = 0.5
+        const val MEAN_REMAINING_FETCH_SHARE = 0.5
     }
 }
