Shorten the answers of operators' requests about machines

Change: the encoding of a drain's answer is a function; one statement each line. No behaviour changes.

--- a/src/main/kotlin/burlridge/balance/MachineRequests.kt
+++ b/src/main/kotlin/burlridge/balance/MachineRequests.kt
@@ -87,10 +87,7 @@
         if (path == STATUS) return respond(HttpResponse(HttpStatus.OK, Json.write(balance.report().encode())))
         if (path.startsWith(EXPLAIN)) return respond(HttpResponse(HttpStatus.OK, Json.write(balance.explain(path.removePrefix(EXPLAIN)))))
         val request = Json.parseOrNull(body)
-        if (isStale(
-                request,
-            )
-        ) {
+        if (isStale(request)) {
             return respond(HttpResponse.error(HttpStatus.CONFLICT, "this was asked too long ago and is not carried out; ask again"))
         }
         val target =
@@ -116,22 +113,13 @@
 
     private fun toResponse(change: DrainChange): HttpResponse =
         when (change) {
-            is DrainChange.Refused -> {
-                HttpResponse.error(HttpStatus.CONFLICT, change.reason)
-            }
-
-            is DrainChange.Busy -> {
-                HttpResponse.unavailable("another change of this drain is being written; ask again")
-            }
-
-            is DrainChange.Written -> {
-                HttpResponse(
-                    HttpStatus.OK,
-                    Json.write(Json.obj { DrainReport(change.drain, progress = null).encode(this) }),
-                )
-            }
+            is DrainChange.Refused -> HttpResponse.error(HttpStatus.CONFLICT, change.reason)
+            is DrainChange.Busy -> HttpResponse.unavailable("another change of this drain is being written; ask again")
+            is DrainChange.Written -> HttpResponse(HttpStatus.OK, encode(change.drain))
         }
 
+    private fun encode(drain: Drain): String = Json.write(Json.obj { DrainReport(drain, progress = null).encode(this) })
+
     /**
      * Returns a callback that passes only the first response to [respond]. A write may stay in flight for as long as the key-value store is
      * unavailable, or be abandoned when the term ends; after [WRITE_TIMEOUT_SECONDS] the response therefore asks the client to retry.
