Draw more changes of leader in the accounting schedules; share drawn faults

Three tests drew from the same list of faults, and two built the same burst of jobs.

Change: half of the commands are affected in place of a third, a leader is killed six times in place of four, and three of four jobs are cancelled in place of one of two. CallFault.FAILURES and burst() are used by all.

--- a/src/test/kotlin/burlridge/balance/BalanceScheduleTest.kt
+++ b/src/test/kotlin/burlridge/balance/BalanceScheduleTest.kt
@@ -4,6 +4,7 @@
 import burlridge.settings.BalanceSettings
 import burlridge.settings.MovePermission
 import burlridge.simulation.SimulatedCluster
+import burlridge.simulation.SimulatedCluster.CallFault
 import burlridge.simulation.gang
 import burlridge.simulation.job
 import burlridge.simulation.submit
@@ -129,15 +130,7 @@
         val until = cluster.clock.now + 0.5 + seededRandom.nextDouble() * 4
         cluster.onCall = { _, call ->
             val isAffected = cluster.clock.now < until && !call.path.startsWith("/follow") && seededRandom.nextBoolean()
-            if (isAffected) {
-                listOf(
-                    SimulatedCluster.CallFault.RESPONSE_LOST,
-                    SimulatedCluster.CallFault.DELAYED,
-                    SimulatedCluster.CallFault.REFUSED,
-                ).random(seededRandom)
-            } else {
-                SimulatedCluster.CallFault.NONE
-            }
+            if (isAffected) CallFault.FAILURES.random(seededRandom) else CallFault.NONE
         }
     }
 
--- a/src/test/kotlin/burlridge/failover/HandoverScheduleTest.kt
+++ b/src/test/kotlin/burlridge/failover/HandoverScheduleTest.kt
@@ -3,6 +3,7 @@
 import burlridge.settings.FailoverSettings
 import burlridge.settings.OperatorSettings
 import burlridge.simulation.SimulatedCluster
+import burlridge.simulation.SimulatedCluster.CallFault
 import burlridge.simulation.job
 import burlridge.simulation.submit
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -88,15 +89,7 @@
         val until = cluster.clock.now + 0.5 + seededRandom.nextDouble() * 4
         cluster.onCall = { _, call ->
             val isAffected = cluster.clock.now < until && call.path.startsWith("/multi") && seededRandom.nextBoolean()
-            if (isAffected) {
-                listOf(
-                    SimulatedCluster.CallFault.RESPONSE_LOST,
-                    SimulatedCluster.CallFault.DELAYED,
-                    SimulatedCluster.CallFault.REFUSED,
-                ).random(seededRandom)
-            } else {
-                SimulatedCluster.CallFault.NONE
-            }
+            if (isAffected) CallFault.FAILURES.random(seededRandom) else CallFault.NONE
         }
     }
 
--- a/src/test/kotlin/burlridge/simulation/LeaderChangeAccountingTest.kt
+++ b/src/test/kotlin/burlridge/simulation/LeaderChangeAccountingTest.kt
@@ -1,6 +1,7 @@
 package burlridge.simulation
 
 import burlridge.job.JobSpec
+import burlridge.simulation.SimulatedCluster.CallFault
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
@@ -25,7 +26,7 @@
             SimulatedCluster(seed, types = mapOf("small" to MachineTypeSpec(4.0, 16.0, 2), "big" to MachineTypeSpec(16.0, 64.0, 2)))
         val jobs = (0 until JOBS).map { cluster.drawJob(it, seededRandom) }
         jobs.forEachIndexed { i, job ->
-            val abortAfter = if (seededRandom.nextInt(2) == 0) seededRandom.nextDouble() * 25 else null
+            val abortAfter = if (seededRandom.nextInt(4) > 0) seededRandom.nextDouble() * 25 else null
             cluster.clock.after(5.0 + i * 2.5) { cluster.submit(job, abortAfter) }
         }
         injectCallFaults(cluster, seededRandom)
@@ -63,16 +64,14 @@
         seededRandom: Random,
     ) {
         cluster.lateSeconds = 8.0
-        val faults =
-            listOf(SimulatedCluster.CallFault.DELAYED, SimulatedCluster.CallFault.RESPONSE_LOST, SimulatedCluster.CallFault.REFUSED)
         cluster.onCall = { member, call ->
             val isActive = cluster.clock.now < FAULTS_END_SECONDS
             if (isActive && call.path.startsWith(BATCH_LISTING) && seededRandom.nextInt(4) == 0) {
                 cluster.clock.after(0.0) { cluster.crash(member, seededRandom.nextDouble() * 5) }
             }
-            val oneIn = if (call.path == "/do") 3 else 12
+            val oneIn = if (call.path == "/do") 2 else 15
             val isAffected = isActive && call.path in setOf("/do", "/multi") && seededRandom.nextInt(oneIn) == 0
-            if (isAffected) faults.random(seededRandom) else SimulatedCluster.CallFault.NONE
+            if (isAffected) CallFault.FAILURES.random(seededRandom) else CallFault.NONE
         }
     }
 
@@ -82,7 +81,7 @@
         /** The request for the rows of allocations, which a new leader reads between those of its jobs and its rentals. */
         const val BATCH_LISTING = "/store?starts=round/"
         const val JOBS = 16
-        const val LEADER_CHANGES = 4
+        const val LEADER_CHANGES = 6
         const val FAULTS_END_SECONDS = 80.0
         const val END_SECONDS = 130.0
     }
--- a/src/test/kotlin/burlridge/simulation/ScaleInOutTest.kt
+++ b/src/test/kotlin/burlridge/simulation/ScaleInOutTest.kt
@@ -15,21 +15,7 @@
         until: Double,
         injectFailures: SimulatedCluster.() -> Unit,
     ) {
-        val jobs =
-            (0 until 36).map {
-                cluster.job(
-                    it,
-                    if (it % 9 ==
-                        0
-                    ) {
-                        500
-                    } else {
-                        60
-                    },
-                    cpus = if (it % 3 == 0) 4.0 else 1.0,
-                    runSeconds = 20.0,
-                )
-            }
+        val jobs = cluster.burst(36, largeEvery = 9)
         jobs.forEachIndexed { i, job -> cluster.clock.after(30.0 + 2 * i) { cluster.submit(job) } }
         cluster.injectFailures()
         cluster.run(until)
--- a/src/test/kotlin/burlridge/simulation/ScaleTest.kt
+++ b/src/test/kotlin/burlridge/simulation/ScaleTest.kt
@@ -22,21 +22,7 @@
     private fun assertWorkOfBusyFleet(machines: Int) {
         val types = mapOf("small" to MachineTypeSpec(4.0, 16.0, machines / 6), "big" to MachineTypeSpec(16.0, 64.0, machines / 12))
         val cluster = SimulatedCluster(5, types = types, guaranteedCpus = 0.0)
-        val jobs =
-            (0 until 60).map {
-                cluster.job(
-                    it,
-                    if (it % 10 ==
-                        0
-                    ) {
-                        500
-                    } else {
-                        60
-                    },
-                    cpus = if (it % 3 == 0) 4.0 else 1.0,
-                    runSeconds = 20.0,
-                )
-            }
+        val jobs = cluster.burst(60, largeEvery = 10)
         jobs.forEachIndexed { i, job -> cluster.clock.after(40.0 + i) { cluster.submit(job) } }
         cluster.run(200.0)
         assertEquals(emptyList<String>(), cluster.invariants.violations)
--- a/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
@@ -121,7 +121,19 @@
     var onForwardedRequest: (path: String) -> Unit = {}
 
     /** A fault of a call. [DUPLICATED]: the call is delivered and answered, and delivered once more [lateSeconds] later. */
-    enum class CallFault { NONE, RESPONSE_LOST, DELAYED, REFUSED, DUPLICATED }
+    enum class CallFault {
+        NONE,
+        RESPONSE_LOST,
+        DELAYED,
+        REFUSED,
+        DUPLICATED,
+        ;
+
+        companion object {
+            /** The faults after which the caller has no usable response. */
+            val FAILURES: List<CallFault> = listOf(RESPONSE_LOST, DELAYED, REFUSED)
+        }
+    }
 
     init {
         invariants.onStart = { task, worker ->
--- a/src/test/kotlin/burlridge/simulation/SimulatedUsers.kt
+++ b/src/test/kotlin/burlridge/simulation/SimulatedUsers.kt
@@ -52,6 +52,15 @@
     job(number, tasks, cpus, runSeconds, team, jobClass = "gang", spot = spot, oneZone = oneZone)
         .copy(gang = true, checkpointIntervalSeconds = 5.0, saveSeconds = 2.0)
 
+/** A burst of [count] jobs of 60 tasks, of which every [largeEvery]th has 500. Each task of every third job fills a small machine. */
+internal fun SimulatedCluster.burst(
+    count: Int,
+    largeEvery: Int,
+): List<JobSpec> =
+    (0 until count).map {
+        job(it, tasks = if (it % largeEvery == 0) 500 else 60, cpus = if (it % 3 == 0) 4.0 else 1.0, runSeconds = 20.0)
+    }
+
 /**
  * Submits [spec] until it is accepted, then polls it. Once three responses in a row have come after its end, it is submitted once more
  * and no longer polled.
