--- a/src/main/kotlin/burlridge/admin/AdminRequests.kt
+++ b/src/main/kotlin/burlridge/admin/AdminRequests.kt
@@ -11,6 +11,7 @@
     private val members: MemberRequests?,
     /** Null if balance is switched off; its paths then return 404. */
     private val machines: MachineRequests?,
+    private val builds: BuildRequests,
 ) {
     /** Routes a request to the handler of its path; responds with 404 if there is none. */
     fun handle(
@@ -22,6 +23,7 @@
         respond: (HttpResponse) -> Unit,
     ) {
         when {
+            path == BuildRequests.PATH -> respond(builds.handle(method))
             members != null && MemberRequests.serves(path) -> members.handle(method, path, respond)
             machines != null && MachineRequests.serves(path) -> machines.handle(method, path, body, isForwarded, respond)
             else -> respond(HttpResponse.error(HttpStatus.NOT_FOUND, "no such path"))
--- a/src/main/kotlin/burlridge/app/AdminCommand.kt
+++ b/src/main/kotlin/burlridge/app/AdminCommand.kt
@@ -1,5 +1,6 @@
 package burlridge.app
 
+import burlridge.admin.BuildRequests
 import burlridge.balance.MachineRequests
 import burlridge.core.HttpStatus
 import burlridge.failover.MemberRequests
@@ -31,11 +32,12 @@
             .connectTimeout(TIMEOUT)
             .build()
 
-    /** Returns the state of failover and balance, as far as they are enabled. Throws [Failure]. */
+    /** Returns the members' builds, and the state of failover and balance as far as they are enabled. Throws [Failure]. */
     fun status(): String {
+        val builds = requestIfEnabled("GET", BuildRequests.PATH)?.let(BuildReportFormatter::describe)
         val members = requestIfEnabled("GET", MemberRequests.STATUS)?.let(FailoverReportFormatter::describe)
         val machines = requestIfEnabled("GET", MachineRequests.STATUS)?.let(BalanceReportFormatter::describe)
-        val parts = listOfNotNull(members, machines)
+        val parts = listOfNotNull(builds, members, machines)
         if (parts.isEmpty()) throw Failure("the controller at $address has neither failover nor balance switched on")
         return parts.joinToString("\n")
     }
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -1,6 +1,7 @@
 package burlridge.app
 
 import burlridge.admin.AdminRequests
+import burlridge.admin.BuildRequests
 import burlridge.allocation.JobRegistry
 import burlridge.api.JobApi
 import burlridge.balance.Balance
@@ -18,6 +19,7 @@
 import burlridge.leadership.Leadership
 import burlridge.leadership.LeadershipListener
 import burlridge.leadership.StepDownReason
+import burlridge.message.BuildIdentity
 import burlridge.message.FailoverStatus
 import burlridge.peer.PeerRequests
 import burlridge.placement.Placement
@@ -33,8 +35,9 @@
 internal class Controller(
     settings: Settings,
     seed: Long,
+    build: BuildIdentity? = null,
 ) : LeadershipListener {
-    private val context = StepContext(settings, seed)
+    private val context = StepContext(settings, seed, build)
     private val placementTimer = PlacementTimer(context)
     private val store = StoreClient(context)
     private val leadership = Leadership(context, store, this)
@@ -62,6 +65,7 @@
         AdminRequests(
             failover?.let { MemberRequests(context, it, peers) },
             balance?.let { MachineRequests(context, leadership, it, peers) { jobApi.isLoaded } },
+            BuildRequests(context, peers),
         )
     private val router = RequestRouter(settings.member, leadership, workers, relay, jobApi, admin, fleet, failover)
     private val peerMessages =
--- a/src/main/kotlin/burlridge/app/Main.kt
+++ b/src/main/kotlin/burlridge/app/Main.kt
@@ -1,6 +1,8 @@
 package burlridge.app
 
+import burlridge.core.logLine
 import burlridge.settings.Settings
+import org.slf4j.LoggerFactory
 import java.io.File
 import kotlin.system.exitProcess
 
@@ -34,6 +36,7 @@
 private fun trainClassArchive() {
     val file = File.createTempFile("burlridge", ".json")
     try {
+        ClassArchive.ofThisProcess()?.recordJar()
         file.writeText(ClassArchiveTraining.settings())
         // Goes through the command line of `serve`, so that its classes are in the archive as well.
         val serve = CommandLine.parse(listOf("serve", "--config", file.path)) as CommandLine.Serve
@@ -44,6 +47,20 @@
     exitProcess(0)
 }
 
+/** Runs a controller; whatever ends it is logged with the build that ran. */
+private fun serve(files: SettingsFiles) {
+    val log = LoggerFactory.getLogger("burlridge")
+    log.info(logLine("controller starting", CurrentBuild.details()))
+    ClassArchive.mismatchOfThisProcess()?.let { log.info("class archive not used reason={}", it) }
+    val settings = files.read()
+    try {
+        Service(settings).run()
+    } catch (unexpected: Throwable) {
+        // Whatever it is, the event loop has ended.
+        FailureExit.end(unexpected)
+    }
+}
+
 private fun configureLogging() {
     val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug") } ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
@@ -56,7 +73,7 @@
 internal fun main(args: Array<String>) {
     configureLogging()
     when (val command = CommandLine.parse(args.toList())) {
-        is CommandLine.Serve -> Service(command.files.read()).run()
+        is CommandLine.Serve -> serve(command.files)
         is CommandLine.Status -> runAdminCommand(command.files) { status() }
         is CommandLine.Drain -> runAdminCommand(command.files) { drain(command.member, command.waitSeconds) }
         is CommandLine.DrainMachines -> runAdminCommand(command.files) { drainMachines(command.target, command.forced) }
@@ -65,7 +82,7 @@
         is CommandLine.Check -> reportValidSettings(command.files.read())
         CommandLine.TrainClassArchive -> trainClassArchive()
         CommandLine.Help -> println(HELP)
-        CommandLine.Version -> println("burlridge version ${CommandLine::class.java.`package`.implementationVersion ?: "development"}")
+        CommandLine.Version -> println("burlridge ${CurrentBuild.identity}")
         is CommandLine.Invalid -> fail("${command.reason}; see burlridge --help")
     }
 }
--- a/src/main/kotlin/burlridge/app/Service.kt
+++ b/src/main/kotlin/burlridge/app/Service.kt
@@ -11,6 +11,7 @@
 import burlridge.peer.PeerTransport
 import burlridge.settings.GangTimings
 import burlridge.settings.Settings
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -20,14 +21,13 @@
 import org.slf4j.LoggerFactory
 import java.io.File
 import kotlin.coroutines.EmptyCoroutineContext
-import kotlin.system.exitProcess
 
 /** The process of one controller: a single thread steps the core, executes its effects and waits for sockets and timers. */
 internal class Service(
     private val settings: Settings,
 ) {
     private val log = LoggerFactory.getLogger("burlridge")
-    private val controller = Controller(settings, System.nanoTime())
+    private val controller = Controller(settings, System.nanoTime(), CurrentBuild.identity)
     private val loop = EventLoop()
     private val scope =
         CoroutineScope(loop + SupervisorJob() + CoroutineExceptionHandler { _, unexpected -> log.error("coroutine failed", unexpected) })
@@ -57,6 +57,8 @@
             step(Input.Tick)
             shutdown?.let { drainIfRequested(it) }
             server.expirePending()
+            server.refuseUnfinished()
+            peers.closeUnfinished()
             logMetrics()
         }
     }
@@ -71,13 +73,22 @@
         WarmUp(settings).run()
         peers.start(scope + loop.urgentDispatcher)
         server.serve(serveOn, scope)
-        scope.launch {
+        scope.launch { tickForever(tick) }
+        loop.run()
+    }
+
+    private suspend fun tickForever(tick: suspend () -> Unit) {
+        try {
             while (true) {
                 tick()
                 delay(TICK_MILLIS)
             }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (unexpected: Throwable) {
+            // Without ticks, the process would stay up as a member that neither renews a lease nor elects.
+            FailureExit.end(unexpected)
         }
-        loop.run()
     }
 
     private fun logMetrics() {
@@ -111,10 +122,9 @@
         val effects =
             try {
                 controller.step(input, System.nanoTime() / NANOS_PER_SECOND, System.currentTimeMillis())
-            } catch (unexpected: Exception) {
-                // Whatever the exception, the step may be incomplete. Restarting and loading the rows again is safe; continuing is not.
-                log.error("core step failed input={}", input, unexpected)
-                exitProcess(EXIT_FAILED)
+            } catch (unexpected: Throwable) {
+                // Whatever it is, the step may be incomplete. Restarting and loading the rows again is safe; continuing is not.
+                FailureExit.end(unexpected) { log.error("core step failed input={}", input) }
             }
         effects.forEach(::execute)
     }
@@ -154,7 +164,6 @@
         const val TICK_MILLIS = 100L
         const val METRICS_INTERVAL_NANOS = 60_000_000_000L
         const val TRAINING_MILLIS = 2_000L
-        const val EXIT_FAILED = 70
 
         /**
          * Idle time after which a connection may be reclaimed, in heartbeat intervals. A live worker sends a heartbeat at least every 1.25
--- a/src/main/kotlin/burlridge/core/StepContext.kt
+++ b/src/main/kotlin/burlridge/core/StepContext.kt
@@ -1,5 +1,6 @@
 package burlridge.core
 
+import burlridge.message.BuildIdentity
 import burlridge.message.PeerMessage
 import burlridge.settings.Endpoint
 import burlridge.settings.Settings
@@ -14,6 +15,8 @@
 internal class StepContext(
     val settings: Settings,
     seed: Long,
+    /** The build that this process runs; null if it is not told to the other members. */
+    val build: BuildIdentity? = null,
 ) {
     /** Monotonic time of this step, in seconds; it never decreases. */
     var now: Double = 0.0
--- a/src/main/kotlin/burlridge/leadership/StatusExchange.kt
+++ b/src/main/kotlin/burlridge/leadership/StatusExchange.kt
@@ -44,6 +44,7 @@
                 store.isServing,
                 zonesWithoutHeartbeats,
                 listener.failoverStatus(),
+                context.build,
             )
         settings.others.forEach { context.send(it.member, message) }
     }
--- a/src/main/kotlin/burlridge/message/PeerMessage.kt
+++ b/src/main/kotlin/burlridge/message/PeerMessage.kt
@@ -33,6 +33,8 @@
         val zonesWithoutHeartbeats: List<String> = emptyList(),
         /** Null if the sender has failover switched off, or runs a version without it. */
         val failover: FailoverStatus? = null,
+        /** The build that the sender runs; null if it runs a version that does not tell. */
+        val build: BuildIdentity? = null,
     ) : PeerMessage
 
     /**
@@ -86,7 +88,10 @@
     companion object {
         fun encode(message: PeerMessage): ByteArray = ProtoBuf.encodeToByteArray(serializer(), message)
 
-        /** Throws [IllegalArgumentException] for malformed bytes and for a message type that this version does not support. */
+        /**
+         * Throws [IllegalArgumentException] or [IndexOutOfBoundsException] for malformed bytes, and the former for a message type that this
+         * version does not support.
+         */
         fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(serializer(), bytes)
 
         /** Returns null for malformed bytes and for a message type that this version does not support. */
@@ -95,6 +100,9 @@
                 decode(bytes)
             } catch (_: IllegalArgumentException) {
                 null
+            } catch (_: IndexOutOfBoundsException) {
+                // A length that is longer than the message.
+                null
             }
     }
 }
--- a/src/main/kotlin/burlridge/peer/PeerRequests.kt
+++ b/src/main/kotlin/burlridge/peer/PeerRequests.kt
@@ -3,6 +3,7 @@
 import burlridge.core.Effect
 import burlridge.core.HttpResponse
 import burlridge.core.StepContext
+import burlridge.message.BuildIdentity
 import burlridge.message.PeerMessage
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
 
@@ -32,6 +33,9 @@
         zone: String,
     ): Boolean = statuses[leader]?.let { it.isLeader && zone in it.zonesWithoutHeartbeats } ?: false
 
+    /** Returns the build that [member] runs, by its last status; null if it has sent none or does not tell. */
+    fun buildOf(member: String): BuildIdentity? = statuses[member]?.build
+
     /** Whether no message of [member] has arrived in the last [SILENCE_TIMEOUT_SECONDS]. */
     fun isSilent(member: String): Boolean = context.now > (lastMessageAt[member] ?: Double.NEGATIVE_INFINITY) + SILENCE_TIMEOUT_SECONDS
 
--- a/src/test/kotlin/burlridge/allocation/ProductionTest.kt
+++ b/src/test/kotlin/burlridge/allocation/ProductionTest.kt
@@ -106,9 +106,9 @@
             val (hex, expectedText) = line.split("  ", limit = 2)
             val bytes = HexFormat.of().parseHex(hex)
             val message = PeerMessage.decode(bytes)
-            // A field that this version adds is missing from messages of production, and printed as null.
-            assertEquals(expectedText, message.toString().replace(ABSENT_FAILOVER, ""))
-            assertEquals(message is PeerMessage.Status, ABSENT_FAILOVER in message.toString())
+            // A field that a later version adds is missing from messages of production, and printed as null.
+            assertEquals(expectedText, ABSENT_FIELDS.fold(message.toString()) { text, absent -> text.replace(absent, "") })
+            ABSENT_FIELDS.forEach { assertEquals(message is PeerMessage.Status, it in message.toString()) }
             assertArrayEquals(bytes, PeerMessage.encode(message))
         }
     }
@@ -188,7 +188,7 @@
     private fun failoverRows(prefix: String): List<Row> = rowsOf("rows-failover-balance.jsonl", prefix)
 
     private companion object {
-        const val ABSENT_FAILOVER = ", failover=null"
+        val ABSENT_FIELDS = listOf(", failover=null", ", build=null")
     }
 
     @Test
