Bound the memory of messages that are not complete

Cause: each connection may hold a part of a request, a frame of another member or an answer, and nothing bounded their sum.

Change: parts share an eighth of the heap; what is beyond it gets 503 with Retry-After at once. A request is at most 256 KiB with head and framing (400), and must be complete after 5 s (408); the connection is closed. Frames and the answers of workers have budgets of their own, those of the store and the cloud a quarter of the heap. A body that is not UTF-8 is refused with 400 instead of being stored with replacement characters.

--- a/src/main/kotlin/burlridge/core/HttpStatus.kt
+++ b/src/main/kotlin/burlridge/core/HttpStatus.kt
@@ -7,6 +7,7 @@
     const val BAD_REQUEST: Int = 400
     const val NOT_FOUND: Int = 404
     const val METHOD_NOT_ALLOWED: Int = 405
+    const val REQUEST_TIMEOUT: Int = 408
     const val CONFLICT: Int = 409
     const val GONE: Int = 410
     const val MISDIRECTED_REQUEST: Int = 421
--- a/src/main/kotlin/burlridge/net/Connection.kt
+++ b/src/main/kotlin/burlridge/net/Connection.kt
@@ -3,6 +3,8 @@
 import burlridge.settings.Endpoint
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.InternalAPI
+import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.cancel
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CancellationException
@@ -29,6 +31,7 @@
     private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val channel: SocketChannel,
+    limit: ReceiveLimit,
 ) : EventLoop.ReadinessListener {
     /** Serves an accepted connection. */
     internal interface Handler {
@@ -41,6 +44,15 @@
         /** Serves the connection from [input] until it ends; called once, on the first read that [tryHandle] has not handled. */
         suspend fun serve(connection: Connection)
 
+        /** Called when bytes of a message have been read that may not be complete yet. */
+        fun onPartRead(connection: Connection) = Unit
+
+        /** Called when a message cannot be received to its end; the connection is to be closed after a last answer. */
+        fun onRefused(
+            connection: Connection,
+            refusal: ReceiveRefusal,
+        ) = connection.close()
+
         /** Called when the connection has been closed, for whatever reason. */
         fun onClosed(connection: Connection)
     }
@@ -55,6 +67,7 @@
     var requestBytes: ByteArray? = null
         private set
 
+    private val heldBytes = HeldBytes(limit)
     private var handler: Handler? = null
 
     /** Whether a coroutine reads the socket, instead of callbacks. */
@@ -71,7 +84,7 @@
     private var writeWaiter: Continuation<Unit>? = null
     private var responseWaiter: Continuation<Unit>? = null
 
-    /** Whether a request that was handled without a parser has not been answered yet. */
+    /** Whether a complete request has not been answered yet. Until then at most one more read is made. */
     private var isAwaitingResponse = false
 
     /** Whether the connection can no longer be used. */
@@ -104,7 +117,7 @@
         return isHandled
     }
 
-    /** Called when a request that was handled without a parser has been answered: the next one may be read. */
+    /** Called when a request has been answered: the next one may be read. */
     fun onResponse() {
         isAwaitingResponse = false
         if (!channel.isOpen) return
@@ -120,6 +133,7 @@
                 null
             } ?: return close()
         if (handleWithoutParser(bytes)) return
+        if (!hold(bytes)) return
         isReadByCoroutine = true
         key.interestOpsAnd(READ.inv())
         requestBytes = bytes
@@ -127,6 +141,19 @@
         scope.launch(start = CoroutineStart.UNDISPATCHED) { serve() }
     }
 
+    /** Counts [bytes] as part of a message that is not complete; returns false if the connection is refused for it. */
+    private fun hold(bytes: ByteArray): Boolean {
+        val refusal = heldBytes.add(bytes.size)
+        if (refusal == null) handler?.onPartRead(this) else refuse(refusal)
+        return refusal == null
+    }
+
+    /** Ends the reception of a message that is not complete. */
+    fun refuse(refusal: ReceiveRefusal) {
+        val refusedBy = handler
+        if (refusedBy == null) close() else refusedBy.onRefused(this, refusal)
+    }
+
     private suspend fun serve() {
         try {
             handler?.serve(this)
@@ -177,9 +204,16 @@
         }
     }
 
-    /** Called when a parsed request is about to be answered: the next bytes received begin another request. */
-    fun requestCompleted() {
+    /** Called when a request has been read from [input] to its end. */
+    fun onRequestRead() {
+        isAwaitingResponse = true
+    }
+
+    /** Called when the message that was being read is complete: the next bytes received begin another one. */
+    @OptIn(InternalAPI::class)
+    fun messageCompleted() {
         requestBytes = null
+        heldBytes.onMessageCompleted(hasUnread = incoming.closedCause == null && incoming.availableForRead > 0)
     }
 
     /** Writes as much as the socket accepts without waiting; returns the rest of [bytes], or null if all was written. */
@@ -193,13 +227,12 @@
         try {
             first?.let { writeToInput(it) }
             while (true) {
+                if (isAwaitingResponse) suspendCancellableCoroutine { responseWaiter = it }
                 awaitReadable()
                 val bytes = read() ?: break
                 val isBetweenRequests = requestBytes == null
-                if (isBetweenRequests && handleWithoutParser(bytes)) {
-                    if (isAwaitingResponse) suspendCancellableCoroutine { responseWaiter = it }
-                    continue
-                }
+                if (isBetweenRequests && handleWithoutParser(bytes)) continue
+                if (!hold(bytes)) break
                 if (isBetweenRequests) requestBytes = bytes
                 writeToInput(bytes)
             }
@@ -220,6 +253,7 @@
     /** Closes the connection and notifies its handler; may be called repeatedly. */
     fun close() {
         channel.close()
+        heldBytes.releaseAll()
         readWaiter?.also { readWaiter = null }?.resume(Unit)
         writeWaiter?.also { writeWaiter = null }?.resume(Unit)
         responseWaiter?.also { responseWaiter = null }?.resume(Unit)
@@ -235,11 +269,12 @@
             loop: EventLoop,
             scope: CoroutineScope,
             target: Endpoint,
+            limit: ReceiveLimit,
         ): Connection {
             val channel = SocketChannel.open()
             try {
                 channel.configureBlocking(false)
-                val connection = Connection(loop, scope, channel)
+                val connection = Connection(loop, scope, channel, limit)
                 if (!channel.connect(InetSocketAddress(target.host, target.port))) {
                     connection.awaitWritable(SelectionKey.OP_CONNECT)
                     channel.finishConnect()
@@ -260,12 +295,13 @@
             loop: EventLoop,
             scope: CoroutineScope,
             channel: SocketChannel,
+            limit: ReceiveLimit,
             newHandler: (Connection) -> Handler,
         ) {
             try {
                 channel.configureBlocking(false)
                 channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
-                val connection = Connection(loop, scope, channel)
+                val connection = Connection(loop, scope, channel, limit)
                 connection.handler = newHandler(connection)
                 connection.key.interestOps(READ)
             } catch (_: IOException) {
--- a/src/main/kotlin/burlridge/net/ConnectionListener.kt
+++ b/src/main/kotlin/burlridge/net/ConnectionListener.kt
@@ -23,6 +23,7 @@
         scope: CoroutineScope,
         endpoint: Endpoint,
         backlog: Int,
+        limit: ReceiveLimit,
         admit: () -> Boolean,
         newHandler: (Connection) -> Connection.Handler,
     ) {
@@ -50,7 +51,7 @@
                             return@ReadinessListener pauseAccepting()
                         }
                     // Registered immediately, so that it is counted before the next connection is admitted.
-                    Connection.accept(loop, scope, channel, newHandler)
+                    Connection.accept(loop, scope, channel, limit, newHandler)
                 }
             }
         key = server.register(loop.selector, SelectionKey.OP_ACCEPT, listener)
--- a/src/main/kotlin/burlridge/net/HttpBody.kt
+++ b/src/main/kotlin/burlridge/net/HttpBody.kt
@@ -15,7 +15,7 @@
     headers: HttpHeadersMap,
     input: ByteReadChannel,
     maxBytes: Int,
-): String? {
+): ByteArray? {
     val length = headers["Content-Length"]?.toString()?.trim()?.toLongOrNull()
     val encoding = headers["Transfer-Encoding"]
     return when {
@@ -29,12 +29,12 @@
                     }
                 val bytes = decoded.readRemaining(maxBytes + 1L).readByteArray()
                 if (bytes.size > maxBytes) decoder.cancel()
-                bytes.takeIf { it.size <= maxBytes }?.decodeToString()
+                bytes.takeIf { it.size <= maxBytes }
             }
         }
 
         length == null || length == 0L -> {
-            ""
+            ByteArray(0)
         }
 
         length > maxBytes -> {
@@ -42,7 +42,27 @@
         }
 
         else -> {
-            input.readByteArray(length.toInt()).decodeToString()
+            input.readByteArray(length.toInt())
         }
     }
 }
+
+/**
+ * Decodes [bytes] from [offset] on as UTF-8; returns null if they are not valid. Decoded leniently, a text would be stored with other
+ * characters than were sent.
+ */
+internal fun decodeUtf8OrNull(
+    bytes: ByteArray,
+    offset: Int = 0,
+): String? {
+    val text = String(bytes, offset, bytes.size - offset)
+    // The replacement character stands for invalid bytes, or for itself: only then is the strict, slower decoder needed.
+    if (REPLACEMENT_CHARACTER !in text) return text
+    return try {
+        bytes.decodeToString(offset, throwOnInvalidSequence = true)
+    } catch (_: CharacterCodingException) {
+        null
+    }
+}
+
+private const val REPLACEMENT_CHARACTER = '\uFFFD'
--- a/src/main/kotlin/burlridge/net/HttpClient.kt
+++ b/src/main/kotlin/burlridge/net/HttpClient.kt
@@ -21,6 +21,12 @@
     /** Target whose responses are processed before all other work of the event loop; null for none. */
     private val urgentTarget: Endpoint? = null,
 ) {
+    /** For the few [unlimitedTargets], whose answers may be long. */
+    private val serviceLimit = ReceiveLimit(ReceiveBudget.ofHeap(SERVICE_HEAP_SHARE), MAX_RESPONSE_BYTES + MAX_HEAD_BYTES)
+
+    /** Workers are many, and whoever reports as one is called at the address that it gives. */
+    private val workerLimit = ReceiveLimit(ReceiveBudget.ofHeap(), MAX_WORKER_RESPONSE_BYTES + MAX_HEAD_BYTES)
+
     private val urgentScope = scope + loop.urgentDispatcher
     private val permits = Semaphore(maxConcurrent)
 
@@ -81,7 +87,8 @@
 
     private suspend fun connect(target: Endpoint): PooledConnection? =
         try {
-            PooledConnection(target, Connection.connect(loop, if (target == urgentTarget) urgentScope else scope, target))
+            val limit = if (target in unlimitedTargets) serviceLimit else workerLimit
+            PooledConnection(target, Connection.connect(loop, if (target == urgentTarget) urgentScope else scope, target, limit))
         } catch (e: CancellationException) {
             throw e
         } catch (_: Exception) {
@@ -113,7 +120,9 @@
         pooled.connection.write(if (body == null) head else head + body)
         val response = parseResponse(pooled.connection.input) ?: return null
         try {
-            val text = readBody(response.headers, pooled.connection.input, MAX_RESPONSE_BYTES) ?: return null
+            val bytes = readBody(response.headers, pooled.connection.input, MAX_RESPONSE_BYTES) ?: return null
+            val text = decodeUtf8OrNull(bytes) ?: return null
+            pooled.connection.messageCompleted()
             if (response.headers["Connection"]?.contains("close", ignoreCase = true) == true) {
                 pooled.connection.close()
             } else {
@@ -147,5 +156,10 @@
         const val CONNECT_TIMEOUT_MILLIS = 1_000L
         const val NANOS_PER_SECOND = 1e9
         const val MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+        const val SERVICE_HEAP_SHARE = 0.25
+
+        /** A worker answers with its report, which lists all its tasks. */
+        const val MAX_WORKER_RESPONSE_BYTES = 1024 * 1024
+        const val MAX_HEAD_BYTES = 64 * 1024
     }
 }
--- a/src/main/kotlin/burlridge/net/HttpResponseEncoder.kt
+++ b/src/main/kotlin/burlridge/net/HttpResponseEncoder.kt
@@ -12,6 +12,7 @@
             HttpStatus.BAD_REQUEST to "Bad Request",
             HttpStatus.NOT_FOUND to "Not Found",
             HttpStatus.METHOD_NOT_ALLOWED to "Method Not Allowed",
+            HttpStatus.REQUEST_TIMEOUT to "Request Timeout",
             HttpStatus.CONFLICT to "Conflict",
             HttpStatus.MISDIRECTED_REQUEST to "Misdirected Request",
             HttpStatus.UNPROCESSABLE to "Unprocessable Content",
--- a/src/main/kotlin/burlridge/net/HttpServer.kt
+++ b/src/main/kotlin/burlridge/net/HttpServer.kt
@@ -18,6 +18,7 @@
     private val loop: EventLoop,
     private val budget: ConnectionBudget,
     reclaimAfterSeconds: Double,
+    receiveBudget: ReceiveBudget = ReceiveBudget.ofHeap(),
     private val handle: (Input.Request) -> Unit,
 ) {
     private class PendingRequest(
@@ -30,8 +31,12 @@
     private val pending = LinkedHashMap<Long, PendingRequest>()
     private val clients = ClientConnections<Connection>(budget.maxClients, budget.clientSoftLimit, reclaimAfterSeconds)
     private val knownHeads = KnownRequestHeads()
+    private val receiveLimit = ReceiveLimit(receiveBudget, MAX_REQUEST_BYTES)
+    private val unfinished = UnfinishedMessages(REQUEST_TIMEOUT_NANOS)
     private var reclaimedConnections = 0L
     private var limitLoggedAtNanos = 0L
+    private var refusedRequests = 0L
+    private var refusalLoggedAtNanos = 0L
 
     /** Number of open connections from clients. */
     val openConnections: Int get() = clients.size
@@ -61,6 +66,9 @@
         pending.remove(effect.id)?.respond?.invoke(response)
     }
 
+    /** Refuses the requests that have been incomplete for longer than a client waits for an answer. */
+    fun refuseUnfinished() = unfinished.removeExpired(System.nanoTime()).forEach { it.refuse(ReceiveRefusal.TOO_SLOW) }
+
     /** Answers the requests that the core has not answered within [PENDING_TIMEOUT_NANOS] with a 503; there should never be any. */
     fun expirePending() {
         val now = System.nanoTime()
@@ -77,7 +85,7 @@
         endpoint: Endpoint,
         scope: CoroutineScope,
     ) {
-        ConnectionListener.listen(loop, scope, endpoint, budget.backlog, ::admit) {
+        ConnectionListener.listen(loop, scope, endpoint, budget.backlog, receiveLimit, ::admit) {
             clients.onOpened(it, nowSeconds())
             Session(scope)
         }
@@ -93,7 +101,41 @@
 
         override suspend fun serve(connection: Connection) = serveWithParser(connection)
 
-        override fun onClosed(connection: Connection) = clients.onClosed(connection)
+        override fun onPartRead(connection: Connection) = unfinished.onPartRead(connection, System.nanoTime())
+
+        override fun onRefused(
+            connection: Connection,
+            refusal: ReceiveRefusal,
+        ) = refuse(connection, refusal)
+
+        override fun onClosed(connection: Connection) {
+            unfinished.onEnded(connection)
+            clients.onClosed(connection)
+        }
+    }
+
+    /** Sends the final answer to a request that is not received to its end, as far as the socket takes it, and closes the connection. */
+    private fun refuse(
+        connection: Connection,
+        refusal: ReceiveRefusal,
+    ) {
+        refusedRequests++
+        if (refusalLoggedAtNanos == 0L || System.nanoTime() - refusalLoggedAtNanos > LIMIT_LOG_INTERVAL_NANOS) {
+            refusalLoggedAtNanos = System.nanoTime()
+            log.info("unfinished request refused reason={} total={} heldBytes={}", refusal, refusedRequests, receiveLimit.budget.usedBytes)
+        }
+        val response =
+            when (refusal) {
+                ReceiveRefusal.TOO_LONG -> HttpResponse.error(HttpStatus.BAD_REQUEST, "the request is longer than $MAX_REQUEST_BYTES bytes")
+                ReceiveRefusal.BUDGET_EXHAUSTED -> HttpResponse.unavailable("too many requests are incomplete")
+                ReceiveRefusal.TOO_SLOW -> HttpResponse.error(HttpStatus.REQUEST_TIMEOUT, "the request was not complete in time")
+            }
+        try {
+            connection.tryWrite(HttpResponseEncoder.encode(response, nowSeconds(), close = true))
+        } catch (_: IOException) {
+            // The client has gone.
+        }
+        connection.close()
     }
 
     private suspend fun serveWithParser(connection: Connection) {
@@ -103,11 +145,18 @@
                 clients.onRequest(connection)
                 val uri = request.uri.toString()
                 val closeRequested = request.headers["Connection"]?.contains("close", ignoreCase = true) == true
-                val body = readBody(request.headers, connection.input, MAX_BODY_BYTES)
-                if (body == null) {
+                val bytes = readBody(request.headers, connection.input, MAX_BODY_BYTES)
+                if (bytes == null) {
                     write(connection, HttpResponse.error(HttpStatus.BAD_REQUEST, "the body is longer than $MAX_BODY_BYTES bytes"), true)
                     return
                 }
+                val body = decodeUtf8OrNull(bytes)
+                if (body == null) {
+                    write(connection, HttpResponse.error(HttpStatus.BAD_REQUEST, "the body is not UTF-8"), true)
+                    return
+                }
+                unfinished.onEnded(connection)
+                connection.onRequestRead()
                 val pendingResponse = CompletableDeferred<HttpResponse>()
                 val id = nextId++
                 val receivedAtNanos = System.nanoTime()
@@ -119,9 +168,10 @@
                 // A worker can reconnect for its next heartbeat at no loss; a user might send a request just as the connection is closed.
                 val close = closeRequested || (clients.isAboveSoftLimit && uri == WORKER_PATH)
                 if (uri in FREQUENT_PATHS) knownHeads.add(connection.requestBytes, request, uri)
-                connection.requestCompleted()
+                connection.messageCompleted()
                 write(connection, response, close)
                 if (close) return
+                connection.onResponse()
             } finally {
                 request.release()
             }
@@ -146,10 +196,12 @@
         scope: CoroutineScope,
     ): Boolean {
         val (head, bodyOffset) = knownHeads.match(bytes, MAX_BODY_BYTES) ?: return false
+        // The parser's path answers it.
+        val body = decodeUtf8OrNull(bytes, bodyOffset) ?: return false
         clients.onRequest(connection)
         val id = nextId++
         pending[id] = PendingRequest(System.nanoTime()) { sendResponse(connection, head.uri, it, scope) }
-        handle(Input.Request(id, head.method, head.uri, "", String(bytes, bodyOffset, bytes.size - bodyOffset)))
+        handle(Input.Request(id, head.method, head.uri, "", body))
         return true
     }
 
@@ -198,6 +250,12 @@
 
     private companion object {
         const val MAX_BODY_BYTES = 64 * 1024
+
+        /** Length of a request as received: room for a head and for the framing of a body in small chunks. */
+        const val MAX_REQUEST_BYTES = 4 * MAX_BODY_BYTES
+
+        /** Users wait this long for an answer, workers less. */
+        const val REQUEST_TIMEOUT_NANOS = 5_000_000_000L
         const val WORKER_PATH = "/agent/beat"
 
         /** Paths that are requested frequently with identical heads. */
--- a/src/main/kotlin/burlridge/peer/PeerTransport.kt
+++ b/src/main/kotlin/burlridge/peer/PeerTransport.kt
@@ -5,6 +5,10 @@
 import burlridge.net.Connection
 import burlridge.net.ConnectionListener
 import burlridge.net.EventLoop
+import burlridge.net.ReceiveBudget
+import burlridge.net.ReceiveLimit
+import burlridge.net.ReceiveRefusal
+import burlridge.net.UnfinishedMessages
 import burlridge.settings.Endpoint
 import burlridge.settings.Settings
 import io.ktor.utils.io.readByteArray
@@ -35,6 +39,9 @@
         val sendDeadline: Double,
     )
 
+    private val receiveLimit = ReceiveLimit(ReceiveBudget.ofHeap(), MAX_RECEIVED_BYTES)
+    private val unfinished = UnfinishedMessages(FRAME_TIMEOUT_NANOS)
+
     /** If a zone is partitioned from the leader, another member relays all of its heartbeats, so the queue grows with the fleet. */
     private val queueCapacity = maxOf(MIN_QUEUE_CAPACITY, (settings.processLimits.maxConnections * QUEUE_SLOTS_PER_CONNECTION).toInt())
     private val queues = settings.others.associate { it.member to Channel<QueuedMessage>(queueCapacity, BufferOverflow.DROP_OLDEST) }
@@ -53,9 +60,12 @@
         settings.others.forEach { peer ->
             scope.launch { keepConnected(scope, peer.endpoint, queues.getValue(peer.member)) }
         }
-        ConnectionListener.listen(loop, scope, settings.peerBind, BACKLOG, { true }) { FrameReader() }
+        ConnectionListener.listen(loop, scope, settings.peerBind, BACKLOG, receiveLimit, { true }) { FrameReader() }
     }
 
+    /** Closes the connections whose frame has been incomplete for longer than its sender waits. */
+    fun closeUnfinished() = unfinished.removeExpired(System.nanoTime()).forEach { it.refuse(ReceiveRefusal.TOO_SLOW) }
+
     /** Reads the frames of one accepted connection. */
     private inner class FrameReader : Connection.Handler {
         override fun tryHandle(
@@ -68,12 +78,16 @@
                 val size = connection.input.readInt()
                 if (size !in 1..MAX_FRAME_BYTES) break
                 val frame = connection.input.readByteArray(size)
+                connection.messageCompleted()
+                unfinished.onEnded(connection)
                 // A message type of a later version does not end the connection: the frame is complete, and the next may be supported.
                 PeerMessage.decodeOrNull(frame)?.let(onMessage) ?: onUnknownMessage()
             }
         }
 
-        override fun onClosed(connection: Connection) = Unit
+        override fun onPartRead(connection: Connection) = unfinished.onPartRead(connection, System.nanoTime())
+
+        override fun onClosed(connection: Connection) = unfinished.onEnded(connection)
     }
 
     /** Connects to one member, sends its queue, and reconnects whenever the connection ends. */
@@ -103,7 +117,7 @@
         target: Endpoint,
         queue: Channel<QueuedMessage>,
     ) {
-        val connection = withTimeout(CONNECT_TIMEOUT_MILLIS) { Connection.connect(loop, scope, target) }
+        val connection = withTimeout(CONNECT_TIMEOUT_MILLIS) { Connection.connect(loop, scope, target, receiveLimit) }
         try {
             while (!connection.isClosed) {
                 val frames = nextFrames(queue)
@@ -140,6 +154,10 @@
         const val RECONNECT_DELAY_MILLIS = 300L
         const val MAX_FRAME_BYTES = 256 * 1024
 
+        /** A frame and the reads around it. */
+        const val MAX_RECEIVED_BYTES = 2 * MAX_FRAME_BYTES
+        const val FRAME_TIMEOUT_NANOS = 5_000_000_000L
+
         /** No further message is added to a write of at least this size. */
         const val MAX_WRITE_BYTES = 64 * 1024
     }
--- a/src/test/kotlin/burlridge/net/ConnectionTest.kt
+++ b/src/test/kotlin/burlridge/net/ConnectionTest.kt
@@ -132,6 +132,25 @@
         }
     }
 
+    /** Guards against a job that is accepted with another text than was sent: invalid bytes would become replacement characters. */
+    @Test
+    fun `a body that is not UTF-8 is refused, and a replacement character that was sent is not`() {
+        val serverWithKnownHead = withKnownHead(echoServer())
+        val invalid = request("{?}", extra = "Connection: close\r\n").toByteArray(Charsets.ISO_8859_1)
+        for ((byte, other) in listOf(0xc3 to '}', 0xff to '!', 0xed to 'x')) {
+            invalid[invalid.lastIndex - 1] = byte.toByte()
+            invalid[invalid.lastIndex] = other.code.toByte()
+            for (port in listOf(echoServer(), serverWithKnownHead)) {
+                assertEquals("""{"error":"the body is not UTF-8"}""", exchange(port, listOf(invalid)).substringAfter("\r\n\r\n"))
+            }
+        }
+        val valid = "{\ufffd}".encodeToByteArray()
+        val head =
+            "POST /agent/beat HTTP/1.1\r\nHost: a:1\r\nConnection: close\r\nContent-Length: ${valid.size}\r\n\r\n"
+                .encodeToByteArray()
+        assertEquals("POST /agent/beat {\ufffd}", exchange(serverWithKnownHead, listOf(head + valid)).substringAfter("\r\n\r\n"))
+    }
+
     /** Guards against responses out of order: a request that bypassed the parser must be answered before the next one is read. */
     @Test
     fun `responses are sent in the order of the requests`() {
