Bound what heartbeats of machines that do not exist take of the memory

Cause: whoever reaches a controller can report in the name of any machine.

Change: a name of over 200 characters counts as missing, as in submissions. Heartbeats of machines that neither the cloud, a rental nor an allocation names share a sixty-fourth of memory_mb; beyond that they get 503 with Retry-After. The maps of redirected workers and removed machines are bounded, in ratio to max_connections.

--- a/src/main/kotlin/burlridge/core/BoundedMap.kt
+++ b/src/main/kotlin/burlridge/core/BoundedMap.kt
@@ -19,6 +19,9 @@
         entries[key] = value
     }
 
+    /** Removes all entries. */
+    fun clear() = entries.clear()
+
     private companion object {
         const val INITIAL_CAPACITY = 16
         const val LOAD_FACTOR = 0.75f
--- a/src/main/kotlin/burlridge/worker/Heartbeat.kt
+++ b/src/main/kotlin/burlridge/worker/Heartbeat.kt
@@ -50,10 +50,10 @@
     var tasks: Map<String, TaskStatus> = emptyMap()
     parser.forEachField {
         when (it) {
-            "drover" -> machine = parser.textOrNull().orEmpty()
+            "drover" -> machine = parser.nameOrNull().orEmpty()
             "addr" -> address = parser.textOrNull()?.let(Endpoint::parseOrNull)
-            "breed" -> type = parser.textOrNull()
-            "yard" -> zone = parser.textOrNull()
+            "breed" -> type = parser.nameOrNull()
+            "yard" -> zone = parser.nameOrNull()
             "loaners" -> spot = parser.booleanOrNull()
             "stint" -> agentEpoch = parser.integerOrNull() ?: 0L
             "tally" -> sequence = parser.integerOrNull() ?: 0L
@@ -72,6 +72,12 @@
     return found
 }
 
+/** Maximum length of a name, as in submissions: names of machines and tasks are kept in memory and become parts of rows. */
+private const val MAX_NAME_LENGTH = 200
+
+/** As [textOrNull], but null also for a text that is too long for a name. */
+private fun JsonParser.nameOrNull(): String? = textOrNull()?.takeIf { it.length <= MAX_NAME_LENGTH }
+
 /** State of a task for which the worker reports none. */
 private val NO_STATE = TaskState.of("")
 
@@ -83,7 +89,7 @@
     var saved = false
     parser.forEachField {
         when (it) {
-            "piece" -> task = parser.textOrNull().orEmpty()
+            "piece" -> task = parser.nameOrNull().orEmpty()
             "try" -> attempt = (parser.integerOrNull() ?: 0L).toInt()
             "standing" -> state = TaskState.of(parser.textOrNull().orEmpty())
             "cause" -> exitReason = parser.textOrNull()?.let(ExitReason::of)
--- a/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
+++ b/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
@@ -23,9 +23,19 @@
     private val handlers: HeartbeatHandlers,
     private val requestPlacement: () -> Unit,
 ) {
+    private val unlistedReports =
+        UnlistedReports(
+            (context.settings.processLimits.memoryMb * BYTES_PER_MB * UNLISTED_MEMORY_SHARE).toLong(),
+            machines::isVouchedFor,
+            machines.byId::containsKey,
+        )
+
     /** Called for each machine that sent a new heartbeat, after its allocations have been reconciled. */
     var onReconciled: (Machine) -> Unit = {}
 
+    /** Clears all state when a term begins or ends. */
+    fun clear() = unlistedReports.clear()
+
     /** Answers the heartbeat [body], which came directly from its worker, or through the member [relayedBy] if that is not null. */
     fun onRequest(
         body: String,
@@ -38,12 +48,19 @@
         context.count("worker.reports_read")
         val heartbeat = Heartbeat.decode(body) ?: return HttpResponse.error(HttpStatus.BAD_REQUEST, "not a report")
         if (machines.isRemoved(heartbeat.machine)) return HttpResponse.unavailable("this machine has been returned")
+        if (!unlistedReports.admits(heartbeat.machine, body.length, context.now)) return refuseUnlisted(heartbeat)
         val machine = machines.getOrRegister(heartbeat.machine)
         val isNew = accept(machine, heartbeat)
         if (isNew) machine.lastHeartbeat = LastHeartbeat.of(body, machine.sequence)
         return respond(machine, relayedBy, isNew)
     }
 
+    private fun refuseUnlisted(heartbeat: Heartbeat): HttpResponse {
+        context.count("worker.reports_refused")
+        context.infoLimited("unlisted machine refused", "machine" to heartbeat.machine, "address" to heartbeat.address)
+        return HttpResponse.unavailable("too many machines report that the cloud does not list")
+    }
+
     /** Processes the heartbeat with which a worker responds to a command. It does not renew the lease of the worker. */
     fun onCommandResponse(
         machine: Machine,
@@ -150,4 +167,11 @@
             context.info("machine is reclaimed by the cloud", "machine" to machine.id, "inSeconds" to heartbeat.noticeSeconds)
         }
     }
+
+    private companion object {
+        const val BYTES_PER_MB = 1024 * 1024
+
+        /** A decoded heartbeat takes several times its length, and the heap is a part of the memory. */
+        const val UNLISTED_MEMORY_SHARE = 1.0 / 64
+    }
 }
--- a/src/main/kotlin/burlridge/worker/HeartbeatRelay.kt
+++ b/src/main/kotlin/burlridge/worker/HeartbeatRelay.kt
@@ -1,5 +1,6 @@
 package burlridge.worker
 
+import burlridge.core.BoundedMap
 import burlridge.core.CallOutcome
 import burlridge.core.HttpResponse
 import burlridge.core.HttpStatus
@@ -28,7 +29,7 @@
     private val workerSettings = context.settings.workers
 
     /** Redirected workers by machine id. */
-    private val redirected = HashMap<String, RedirectedWorker>()
+    private val redirected = BoundedMap<String, RedirectedWorker>(context.settings.processLimits.maxConnections * REDIRECTED_PER_CONNECTION)
 
     /** Answers the heartbeat [body]; [leader] is null if no leader is known. */
     fun onHeartbeat(
@@ -68,4 +69,9 @@
             respond(RelayedCommand.responseOf(outcome))
         }
     }
+
+    private companion object {
+        /** Far more workers than a deployment with that many connections has. A forgotten one is redirected once more. */
+        const val REDIRECTED_PER_CONNECTION = 10
+    }
 }
--- a/src/main/kotlin/burlridge/worker/MachineRegistry.kt
+++ b/src/main/kotlin/burlridge/worker/MachineRegistry.kt
@@ -1,5 +1,7 @@
 package burlridge.worker
 
+import burlridge.allocation.AllocationTable
+import burlridge.core.BoundedMap
 import burlridge.core.StepContext
 import burlridge.leadership.Leadership
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap
@@ -8,6 +10,7 @@
 internal class MachineRegistry(
     private val context: StepContext,
     private val leadership: Leadership,
+    private val allocations: AllocationTable,
 ) {
     /** Machines by id, in the order in which this leader registered them. */
     val byId: LinkedHashMap<String, Machine> = LinkedHashMap()
@@ -22,7 +25,7 @@
     private val orphanCountByTask = Object2IntOpenHashMap<String>()
 
     /** Ids of removed machines, which a late heartbeat must not register again. */
-    private val removedIds = HashSet<String>()
+    private val removedIds = BoundedMap<String, Unit>(context.settings.processLimits.maxConnections * REMOVED_PER_CONNECTION)
     private var issuedTokenCount = 0L
 
     /** Clears all state when a term begins or ends. */
@@ -55,11 +58,11 @@
     fun isRegistered(machine: Machine): Boolean = byId[machine.id] === machine
 
     /** Whether the machine [id] has been removed permanently. */
-    fun isRemoved(id: String): Boolean = id in removedIds
+    fun isRemoved(id: String): Boolean = removedIds[id] != null
 
     /** Removes [machine] permanently, since it no longer exists. */
     fun remove(machine: Machine) {
-        removedIds += machine.id
+        removedIds[machine.id] = Unit
         byId.remove(machine.id)
         setOrphans(machine, emptySet())
     }
@@ -81,11 +84,19 @@
         machine.orphans = orphans
     }
 
+    /** Whether the cloud, a rental or an allocation names the machine [id], so that its heartbeats cannot be invented. */
+    fun isVouchedFor(id: String): Boolean = id in allocations.byMachine || byId[id]?.let { it.isListed || it.rentedAt > 0 } == true
+
     /** Counts the machines that may run tasks, and how many of them are up and have seen a token of this term. */
     fun responseCount(): WorkerResponseCount {
         val known = byId.values.filter { !it.isStarting && !it.isDead && !it.isLeaseExpired }
         return WorkerResponseCount(known.count { it.isUp && it.isResponsive }, known.size)
     }
+
+    private companion object {
+        /** Late heartbeats are minutes old, and far fewer machines are removed in that time. */
+        const val REMOVED_PER_CONNECTION = 10
+    }
 }
 
 /** Number of machines that may run tasks ([known]), and of those that are up and have seen a token of this leader's term ([answered]). */
--- a/src/main/kotlin/burlridge/worker/WorkerManager.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerManager.kt
@@ -18,7 +18,7 @@
     peers: PeerRequests,
     requestPlacement: () -> Unit,
 ) {
-    private val machineRegistry = MachineRegistry(context, leadership)
+    private val machineRegistry = MachineRegistry(context, leadership, registry.allocations)
     private val reachability = ZoneReachability(context)
     val outcomes: TaskOutcomes = TaskOutcomes(context, registry)
     private val losses = AllocationLosses(context, registry, requestPlacement)
@@ -62,6 +62,7 @@
     /** Clears all state when a term begins or ends. */
     fun clear() {
         machineRegistry.clear()
+        heartbeats.clear()
         reachability.clear()
     }
 
