--- a/src/main/kotlin/burlridge/settings/IniSection.kt
+++ b/src/main/kotlin/burlridge/settings/IniSection.kt
@@ -60,6 +60,9 @@
                     Ini(StringReader(text))
                 } catch (e: InvalidFileFormatException) {
                     throw InvalidSettingsException("not an INI file: ${e.message}", e)
+                } catch (unexpected: RuntimeException) {
+                    // The parser throws exceptions of several types on unfinished escapes, as a backslash at the end of a name.
+                    throw InvalidSettingsException("not an INI file: an escape is not complete (${unexpected.message})", unexpected)
                 }
             for ((name, section) in ini) {
                 val known = keys[name] ?: throw InvalidSettingsException("unknown section [$name]; known are ${keys.keys}")
