--- a/src/main/kotlin/burlridge/admin/BuildRequests.kt
+++ b/src/main/kotlin/burlridge/admin/BuildRequests.kt
@@ -13,10 +13,18 @@
     private val peers: PeerRequests,
 ) {
     /** Answers a request for [PATH]. */
-    fun handle(method: String): HttpResponse = if (method == "GET") HttpResponse(HttpStatus.OK, report()) else HttpResponse.methodNotAllowed("GET")
+    fun handle(method: String): HttpResponse =
+        if (method ==
+            "GET"
+        ) {
+            HttpResponse(HttpStatus.OK, report())
+        } else {
+            HttpResponse.methodNotAllowed("GET")
+        }
 
     private fun report(): String {
-        val builds = mapOf(context.settings.member to context.build) + context.settings.others.associate { it.member to peers.buildOf(it.member) }
+        val builds =
+            mapOf(context.settings.member to context.build) + context.settings.others.associate { it.member to peers.buildOf(it.member) }
         return Json.write(
             Json.obj {
                 val members = putArray("members")
--- a/src/test/kotlin/burlridge/fuzz/ControllerFuzzTest.kt
+++ b/src/test/kotlin/burlridge/fuzz/ControllerFuzzTest.kt
@@ -16,8 +16,8 @@
 import kotlin.random.Random
 
 /**
- * Seeded fuzz of whole clusters in virtual time: an exception that leaves a step fails the test, as it would end the process. More inputs on
- * demand: `mvn test -Dtest=ControllerFuzzTest -Dfuzz.rounds=200 -Dfuzz.seed=2`.
+ * Seeded fuzz of whole clusters in virtual time: an exception that leaves a step fails the test, as it would end the process. More inputs
+ * on demand: `mvn test -Dtest=ControllerFuzzTest -Dfuzz.rounds=200 -Dfuzz.seed=2`.
  */
 internal class ControllerFuzzTest {
     private val rounds = System.getProperty("fuzz.rounds")?.toInt() ?: 4
@@ -65,7 +65,10 @@
             bodies.forEachIndexed { i, body ->
                 cluster.members.forEachIndexed { m, member ->
                     cluster.clock.after(i * INTERVAL + m) {
-                        cluster.request("fuzz", member, "POST", "/api/jobs", body, 5.0) { status, text -> answers[i] += Answer(member, status, text) }
+                        cluster.request("fuzz", member, "POST", "/api/jobs", body, 5.0) { status, text ->
+                            answers[i] +=
+                                Answer(member, status, text)
+                        }
                     }
                 }
                 cluster.clock.after(restartAt + RESTART_SECONDS + i * INTERVAL) {
@@ -77,7 +80,11 @@
             cluster.clock.after(restartAt) { cluster.members.forEach { cluster.crash(it, 1.0) } }
             cluster.run(20.0 + restartAt + RESTART_SECONDS + SUBMISSIONS * INTERVAL + 10.0)
             bodies.forEachIndexed { i, body -> assertOneAnswer(body, answers[i].filter { it.status !in RETRIED }) }
-            val known = answers.indices.filter { i -> answers[i].any { it.status in ACCEPTED } }.mapTo(HashSet()) { Json.parse(bodies[it]).path("id").asText() }
+            val known =
+                answers.indices
+                    .filter { i ->
+                        answers[i].any { it.status in ACCEPTED }
+                    }.mapTo(HashSet()) { Json.parse(bodies[it]).path("id").asText() }
             val stored = (cluster.state.keys("live/") + cluster.state.keys("over/")).mapTo(HashSet()) { it.substringAfter('/') }
             assertEquals(emptySet<String>(), stored - known - accepted.id, "stored without being accepted")
             cluster.assertUnharmed(accepted)
@@ -114,7 +121,13 @@
                     val (method, path, body) = randomRequest(random, mutator)
                     val shown = "$method ${path.take(SHOWN)} ${body.take(SHOWN)}"
                     unanswered += shown
-                    cluster.request("fuzz", cluster.members.random(random), method, path, body, 5.0) { status, _ -> if (status != 0) unanswered -= shown }
+                    cluster.request("fuzz", cluster.members.random(random), method, path, body, 5.0) { status, _ ->
+                        if (status !=
+                            0
+                        ) {
+                            unanswered -= shown
+                        }
+                    }
                     cluster.deliverMessage(cluster.members.random(random), randomMessage(random, mutator))
                 }
             }
--- a/src/test/kotlin/burlridge/fuzz/Examples.kt
+++ b/src/test/kotlin/burlridge/fuzz/Examples.kt
@@ -38,7 +38,8 @@
         "limits":{"cpu_share":0.25,"memory_mb":268.0,"max_connections":2000}}}"""
 
     val operatorSettings: String =
-        """[placement]
+        """
+        [placement]
         sample = 5
         [failover]
         standbys = 1
--- a/src/test/kotlin/burlridge/fuzz/ProcessFuzzTest.kt
+++ b/src/test/kotlin/burlridge/fuzz/ProcessFuzzTest.kt
@@ -44,7 +44,11 @@
             cluster.onLoop { cluster.submit(cluster.job(2, 2, runSeconds = 2.0)) }
             await("the jobs are done") { cluster.onLoop { cluster.unfinished.isEmpty() && cluster.jobs.size == 2 }.takeIf { it } }
             assertEquals(emptyList<String>(), cluster.onLoop { cluster.invariants.violations })
-            val errors = cluster.controllers.flatMap { it.log }.map { it.text }.filter { it.contains("ERROR") }
+            val errors =
+                cluster.controllers
+                    .flatMap { it.log }
+                    .map { it.text }
+                    .filter { it.contains("ERROR") }
             assertEquals(emptyList<String>(), errors)
         }
     }
@@ -82,7 +86,14 @@
 
     private fun randomRequest(): ByteArray {
         val (method, path) = (Examples.targets + listOf("POST" to "/api/jobs", "POST" to "/agent/beat")).random(random)
-        val example = if (path == "/agent/beat") Examples.HEARTBEAT else Examples.JOB.replace("j-000009", "j-8%05d".format(random.nextInt(JOB_IDS)))
+        val example =
+            if (path ==
+                "/agent/beat"
+            ) {
+                Examples.HEARTBEAT
+            } else {
+                Examples.JOB.replace("j-000009", "j-8%05d".format(random.nextInt(JOB_IDS)))
+            }
         val text = if (path == "/agent/beat") mutator.mutate(example).replace(TOKEN, "\"baton\":0") else mutator.mutate(example)
         // Drains of members are meant to take them out of service, and jobs of others must not be cancelled.
         if ("drain" in path) return request("GET", path, text.encodeToByteArray())
@@ -94,10 +105,17 @@
     }
 
     private fun randomFrame(): ByteArray {
-        val message = PeerMessage.encode(PeerMessage.ForwardedRequest("drover-1", random.nextLong(), "POST", "/api/jobs", mutator.mutate(Examples.JOB)))
+        val message =
+            PeerMessage.encode(
+                PeerMessage.ForwardedRequest("drover-1", random.nextLong(), "POST", "/api/jobs", mutator.mutate(Examples.JOB)),
+            )
         val frame = if (random.nextInt(2) == 0) message else mutator.mutate(message.take(MAX_SHORT).toByteArray())
         val size = if (random.nextInt(8) == 0) random.nextInt() else frame.size
-        return ByteBuffer.allocate(Int.SIZE_BYTES + frame.size).putInt(size).put(frame).array()
+        return ByteBuffer
+            .allocate(Int.SIZE_BYTES + frame.size)
+            .putInt(size)
+            .put(frame)
+            .array()
     }
 
     @Test
@@ -108,7 +126,13 @@
         var inputs = 0
         while (System.nanoTime() < until) {
             val target = cluster.controllers.random(random).config
-            if (random.nextInt(4) > 0) exchange(target.serveOn, randomRequest(), isAnswered = true) else exchange(target.peerOn, randomFrame(), false)
+            if (random.nextInt(4) >
+                0
+            ) {
+                exchange(target.serveOn, randomRequest(), isAnswered = true)
+            } else {
+                exchange(target.peerOn, randomFrame(), false)
+            }
             inputs++
         }
         println("fuzz: $inputs inputs in $seconds s")
@@ -148,7 +172,8 @@
         val tasks = (0 until TASKS).joinToString(",") { """{"piece":"j-900000/$it","try":1,"standing":"running"}""" }
         repeat(MACHINES) { i ->
             val name = if (i % 2 == 0) "m-9%05d".format(i) else "m$i" + "x".repeat(LONG_NAME)
-            val body = """{"drover":"$name","addr":"127.0.0.1:1","stint":1,"tally":1,"baton":0,"pieces":[${if (i % 2 == 0) tasks else ""}]}"""
+            val pieces = if (i % 2 == 0) tasks else ""
+            val body = """{"drover":"$name","addr":"127.0.0.1:1","stint":1,"tally":1,"baton":0,"pieces":[$pieces]}"""
             exchange(endpoint, request("POST", "/agent/beat", body.encodeToByteArray()), isAnswered = true)
         }
     }
@@ -167,7 +192,13 @@
                     val task = """{"piece":"j-900000/$i","try":1,"standing":"running"}"""
                     val identity = """"drover":"m-8%05d","addr":"127.0.0.1:${server.localPort}"""".format(i)
                     val body = """{$identity,"stint":1,"tally":$tally,"baton":0,"pieces":[$task]}"""
-                    cluster.controllers.forEach { exchange(it.config.serveOn, request("POST", "/agent/beat", body.encodeToByteArray()), true) }
+                    cluster.controllers.forEach {
+                        exchange(
+                            it.config.serveOn,
+                            request("POST", "/agent/beat", body.encodeToByteArray()),
+                            true,
+                        )
+                    }
                 }
                 tally++
             }
