--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
   echo "COULD NOT RUN: build with the command of deploy/service.toml and review/build-2.sh first"
   exit 2
 fi
-exec java -cp 'target/review-2:target/lib/*' review2.SmallTasks review/5
+exec java -cp 'target/review-2:target/lib/*' review2.LeakedStart review/5
