--- a/review/stand-ins-2/Users.java
+++ b/review/stand-ins-2/Users.java
@@ -17,7 +17,7 @@
     return cluster.members.get(ThreadLocalRandom.current().nextInt(cluster.members.size()));
   }
 
-  private Http.Reply send(Cluster.Member member, String method, String path, String body, int timeoutMillis) {
+  Http.Reply send(Cluster.Member member, String method, String path, String body, int timeoutMillis) {
     Http.Reply reply = Http.once(member.servePort, method, path, body, timeoutMillis);
     String answer = reply == null ? "no answer" : reply.status() + " " + reply.body();
     Record.line("user to " + member.name + ": " + method + " " + path + (body.isEmpty() ? "" : " " + body) + " -> " + answer);
