Report the state of a job only if it is known to be under 3 s old

Cause: the row of an active job does not say whether tasks run, and every path that ended at that row answered "queued": queries that the leader did not answer, repeated submissions, refusals of submissions of a known job, and a member that no longer remembers the acceptance. The leader itself told what it remembered, however old: inherited allocations count as not running until the first report, and the tasks of a machine that was lost as running.

Change: the state is told by the leader alone, from reports of the machines that are at most 2.25 s old; otherwise it asks the workers (GET /inspect) while the user waits. A report counts if it answers a request of this leader, or if it was expected and shows a token of this leader. A member that does not reach the leader asks two others to pass the question on; only if no way is left, the answer is 504. A job accepted less than 2.4 s ago is queued by its row, within the clock bound of the settings.

Evidence: the simulation now compares each answer with what ran (state_lag), in all schedules. Two tests of the checker answered "running" for a job without a start; a start was added there.

--- a/src/main/kotlin/burlridge/allocation/JobRowCodec.kt
+++ b/src/main/kotlin/burlridge/allocation/JobRowCodec.kt
@@ -17,11 +17,14 @@
         }
 
     /** Throws [InvalidJobException] if [row] holds no job that this version can run. */
-    fun decodeActive(row: Row): ActiveJobRow = ActiveJobRow(JobSpecCodec.decode(row.value.path("job")), row.value.path("at").asLong())
+    fun decodeActive(row: Row): ActiveJobRow = ActiveJobRow(JobSpecCodec.decode(row.value.path("job")), submittedMillis(row))
 
     /** The fingerprint in the active job's [row], which can be read even if the job cannot. */
     fun activeFingerprint(row: Row): String = row.value.path("fp").asText()
 
+    /** The time at which the active job's [row] was written, in milliseconds; it can be read even if the job cannot. */
+    fun submittedMillis(row: Row): Long = row.value.path("at").asLong()
+
     /** The value of the row of a finished job. */
     fun encodeFinished(row: FinishedJobRow): JsonNode =
         Json.obj {
--- a/src/main/kotlin/burlridge/api/JobApi.kt
+++ b/src/main/kotlin/burlridge/api/JobApi.kt
@@ -7,8 +7,10 @@
 import burlridge.fleet.Fleet
 import burlridge.leadership.GangFeatureGate
 import burlridge.leadership.Leadership
+import burlridge.peer.LeaderRequests
 import burlridge.peer.PeerRequests
 import burlridge.store.StoreClient
+import burlridge.worker.JobObserver
 
 /** Serves the users' requests: submit, query and cancel. A request that cannot be served now is refused at once instead of queued. */
 internal class JobApi(
@@ -18,6 +20,8 @@
     registry: JobRegistry,
     fleet: Fleet,
     peers: PeerRequests,
+    leaderRequests: LeaderRequests,
+    observer: JobObserver,
     gangGate: GangFeatureGate,
     /** Called when this member, as leader, has admitted a new job. */
     onAdmitted: () -> Unit,
@@ -26,18 +30,21 @@
 ) {
     private val responses = JobResponses(registry)
     private val rows = StoredJobReader(store, registry)
-    private val lookup = JobLookup(leadership, registry, rows, responses)
+    private val authority = JobAuthority(leadership, registry)
+    private val activeJobs = ActiveJobState(context, leadership, registry, authority, leaderRequests, observer, responses)
+    private val lookup = JobLookup(registry, authority, rows, activeJobs, responses)
     private val validation = JobValidation(context, store)
     private val gangAdmission = GangAdmission(context, registry, gangGate, lookup, responses)
     private val creator =
-        JobCreator(store, leadership, registry, peers, lookup, responses, validation, ::onAccepted, onAdmitted)
+        JobCreator(store, leadership, registry, peers, authority, lookup, responses, validation, ::onAccepted, onAdmitted)
     private val submission =
-        JobSubmission(context, store, leadership, fleet, peers, lookup, validation, gangAdmission, creator::create)
-    private val query = JobQuery(context, leadership, registry, peers, lookup, rows, responses)
-    private val cancellation = JobCancellation(context, store, leadership, registry, peers, lookup, responses, onCancelled)
+        JobSubmission(context, store, leadership, fleet, peers, authority, lookup, validation, gangAdmission, creator::create)
+    private val query = JobQuery(context, leadership, authority, peers, leaderRequests, lookup, activeJobs, rows, responses)
+    private val cancellation =
+        JobCancellation(context, store, leadership, registry, peers, authority, lookup, responses, onCancelled)
 
     /** Set once a new leader has read all rows; before that it makes no decisions about jobs. */
-    var isLoaded: Boolean by lookup::isLoaded
+    var isLoaded: Boolean by authority::isLoaded
 
     /** Submits the job that [body] describes; a request that [isForwarded] is not forwarded again. */
     fun submit(
--- a/src/main/kotlin/burlridge/api/JobCancellation.kt
+++ b/src/main/kotlin/burlridge/api/JobCancellation.kt
@@ -21,6 +21,7 @@
     private val leadership: Leadership,
     private val registry: JobRegistry,
     private val peers: PeerRequests,
+    private val authority: JobAuthority,
     private val lookup: JobLookup,
     private val responses: JobResponses,
     private val onCancelled: (Job) -> Unit,
@@ -35,7 +36,7 @@
         registry.finishedJob(id)?.let { return respond(responses.state(id, it.jobState)) }
         val leader = leadership.knownLeader
         when {
-            lookup.mayDecide -> {
+            authority.mayDecide -> {
                 cancelLocally(id, respond)
             }
 
@@ -83,7 +84,7 @@
         row: Row,
         respond: (HttpResponse) -> Unit,
     ) {
-        val job = if (leadership.term == term && lookup.mayDecide) registry.admit(row) else null
+        val job = if (leadership.term == term && authority.mayDecide) registry.admit(row) else null
         if (job != null) return cancel(job, respond)
         respond(registry.finishedJob(id)?.let { responses.state(id, it.jobState) } ?: HttpResponse.unavailable("try again"))
     }
--- a/src/main/kotlin/burlridge/api/JobCreator.kt
+++ b/src/main/kotlin/burlridge/api/JobCreator.kt
@@ -22,6 +22,7 @@
     private val leadership: Leadership,
     private val registry: JobRegistry,
     private val peers: PeerRequests,
+    private val authority: JobAuthority,
     private val lookup: JobLookup,
     private val responses: JobResponses,
     private val validation: JobValidation,
@@ -65,7 +66,7 @@
     ) {
         onStored(spec.id)
         peers.broadcastJobAccepted(spec.id)
-        if (leadership.isLeader && lookup.isLoaded) {
+        if (leadership.isLeader && authority.isLoaded) {
             registry.admit(Row(ActiveJobRow.key(spec.id), row, modRevision))
             onAdmitted()
         }
--- a/src/main/kotlin/burlridge/api/JobLookup.kt
+++ b/src/main/kotlin/burlridge/api/JobLookup.kt
@@ -3,50 +3,41 @@
 import burlridge.allocation.JobRegistry
 import burlridge.core.HttpResponse
 import burlridge.job.JobSpec
-import burlridge.leadership.Leadership
 
 /** Looks up the state of jobs: in memory if this member is the leader or knows that the job has ended, otherwise in the job's rows. */
 internal class JobLookup(
-    private val leadership: Leadership,
     private val registry: JobRegistry,
+    private val authority: JobAuthority,
     private val rows: StoredJobReader,
+    private val activeJobs: ActiveJobState,
     private val responses: JobResponses,
 ) {
-    /** Set once a new leader has read all rows. */
-    var isLoaded: Boolean = false
-
-    /** Whether this member may make decisions about jobs: it is the leader, holds its lease and has read all rows. */
-    val mayDecide: Boolean get() = isLoaded && leadership.holdsLease
-
-    /**
-     * Whether the end of [id] may be durable without this leader knowing the result of the write. Other members may read that row and
-     * report the end, so until the result is known, this member relies on the rows as well.
-     */
-    fun isEndUncertain(id: String): Boolean = registry.jobs[id]?.isEndUncertain == true
-
-    /** Returns the response to a submission of [spec] if this member knows from memory that its id is in use, otherwise null. */
-    fun responseToSubmission(spec: JobSpec): HttpResponse? {
-        registry.finishedJob(spec.id)?.let {
-            return if (it.fingerprint ==
-                spec.fingerprint
-            ) {
-                responses.state(spec.id, it.jobState)
-            } else {
-                idTaken(spec)
-            }
+    /** Responds to a submission of [spec] and returns true if this member knows from memory that its id is in use; otherwise returns false. */
+    fun tryRespondToSubmission(
+        spec: JobSpec,
+        respond: (HttpResponse) -> Unit,
+    ): Boolean {
+        val finished = registry.finishedJob(spec.id)
+        val job = if (finished == null) authority.activeJob(spec.id) else null
+        val fingerprint = finished?.fingerprint ?: job?.spec?.fingerprint ?: return false
+        when {
+            fingerprint != spec.fingerprint -> respond(responses.idTaken(spec.id))
+            finished != null -> respond(responses.state(spec.id, finished.jobState))
+            job != null -> activeJobs.respond(job, respond)
         }
-        if (!mayDecide || isEndUncertain(spec.id)) return null
-        val job = registry.jobs[spec.id] ?: return null
-        return if (job.spec.fingerprint == spec.fingerprint) responses.state(spec.id, job.jobState) else idTaken(spec)
+        return true
     }
 
-    private fun idTaken(spec: JobSpec): HttpResponse = responses.idTaken(spec.id)
-
-    /** Returns the response to a query of [id] if this member can tell it from memory, otherwise null. */
-    fun responseToQuery(id: String): HttpResponse? {
-        registry.finishedJob(id)?.let { return responses.finished(id, it) }
-        val job = registry.jobs[id] ?: return null
-        return if (mayDecide && !job.isEndUncertain) responses.progress(job) else null
+    /** Responds to a query of [id] and returns true if this member can tell its state from memory; otherwise returns false. */
+    fun tryRespondToQuery(
+        id: String,
+        respond: (HttpResponse) -> Unit,
+    ): Boolean {
+        val finished = registry.finishedJob(id)
+        val job = if (finished == null) authority.activeJob(id) else null
+        if (finished != null) respond(responses.finished(id, finished))
+        if (job != null) activeJobs.respond(job, respond)
+        return finished != null || job != null
     }
 
     /** Records that [id] has ended if the [response] of another member says so. */
@@ -71,18 +62,22 @@
             when (stored) {
                 StoredJob.Unreadable -> respond(responses.storeUnavailable())
                 StoredJob.Missing -> onMissing()
-                is StoredJob.Present -> respond(responseTo(id, fingerprint, stored))
+                is StoredJob.Present -> respondTo(id, fingerprint, stored, respond)
             }
         }
     }
 
-    private fun responseTo(
+    private fun respondTo(
         id: String,
         fingerprint: String?,
         stored: StoredJob.Present,
-    ): HttpResponse {
-        val isSame = fingerprint == null || stored.fingerprint == fingerprint
-        return if (isSame) responses.state(id, stored.jobState) else responses.idTaken(id)
+        respond: (HttpResponse) -> Unit,
+    ) {
+        if (fingerprint != null && stored.fingerprint != fingerprint) return respond(responses.idTaken(id))
+        when (stored) {
+            is StoredJob.Active -> activeJobs.respond(id, stored, ActiveJobState.LeaderAccess.ANY, respond)
+            is StoredJob.Finished -> respond(responses.state(id, stored.row.jobState))
+        }
     }
 
     /** Responds with [refusal] only if the job has no rows: a repetition of an accepted submission must not be refused. */
--- a/src/main/kotlin/burlridge/api/JobQuery.kt
+++ b/src/main/kotlin/burlridge/api/JobQuery.kt
@@ -1,21 +1,21 @@
 package burlridge.api
 
-import burlridge.allocation.JobRegistry
-import burlridge.allocation.JobState
 import burlridge.core.HttpResponse
-import burlridge.core.HttpStatus
 import burlridge.core.StepContext
 import burlridge.job.JobSpec
 import burlridge.leadership.Leadership
+import burlridge.peer.LeaderRequests
 import burlridge.peer.PeerRequests
 
 /** Serves queries: from memory if possible, otherwise by forwarding to another member, usually the leader, or from the job's rows. */
 internal class JobQuery(
     private val context: StepContext,
     private val leadership: Leadership,
-    private val registry: JobRegistry,
+    private val authority: JobAuthority,
     private val peers: PeerRequests,
+    private val leaderRequests: LeaderRequests,
     private val lookup: JobLookup,
+    private val activeJobs: ActiveJobState,
     private val rows: StoredJobReader,
     private val responses: JobResponses,
 ) {
@@ -26,13 +26,15 @@
         respond: (HttpResponse) -> Unit,
     ) {
         if (!JobSpec.isValidId(id)) return respond(responses.notFound())
-        lookup.responseToQuery(id)?.let { return respond(it) }
+        if (lookup.tryRespondToQuery(id, respond)) return
+        if (isForwarded || (authority.mayDecide && authority.isEndUncertain(id))) {
+            return queryRows(id, ActiveJobState.LeaderAccess.NONE, respond)
+        }
         val target = if (leadership.isLeader) peers.memberReachingStore() else leadership.knownLeader ?: peers.memberReachingStore()
-        val mustReadRows = isForwarded || (lookup.mayDecide && lookup.isEndUncertain(id))
-        if (mustReadRows || target == null || target == context.settings.member) return queryRows(id, respond)
-        peers.forward(target, "GET", "${JobApi.PATH}/$id", "", FORWARD_TIMEOUT_SECONDS) { response ->
-            if (response == null || response.status == HttpStatus.SERVICE_UNAVAILABLE) {
-                queryRows(id, respond)
+        if (target == null || target == context.settings.member) return queryRows(id, ActiveJobState.LeaderAccess.ANY, respond)
+        leaderRequests.getDirectly(target, "${JobApi.PATH}/$id") { response ->
+            if (response == null) {
+                queryRows(id, ActiveJobState.LeaderAccess.THROUGH_OTHERS, respond)
             } else {
                 lookup.recordEnd(id, response)
                 respond(response)
@@ -42,22 +44,16 @@
 
     private fun queryRows(
         id: String,
+        access: ActiveJobState.LeaderAccess,
         respond: (HttpResponse) -> Unit,
     ) {
         rows.read(id) { stored ->
             when (stored) {
                 StoredJob.Unreadable -> respond(responses.storeUnavailable())
                 StoredJob.Missing -> respond(responses.notFound())
-                is StoredJob.Active -> respond(lookup.responseToQuery(id) ?: responseToActive(id))
+                is StoredJob.Active -> activeJobs.respond(id, stored, access, respond)
                 is StoredJob.Finished -> respond(responses.finished(id, stored.row))
             }
         }
     }
-
-    private fun responseToActive(id: String): HttpResponse =
-        registry.jobs[id]?.let(responses::progress) ?: responses.state(id, JobState.QUEUED)
-
-    private companion object {
-        const val FORWARD_TIMEOUT_SECONDS = 0.6
-    }
 }
--- a/src/main/kotlin/burlridge/api/JobResponses.kt
+++ b/src/main/kotlin/burlridge/api/JobResponses.kt
@@ -39,6 +39,10 @@
     /** 503: the rows cannot be read. */
     fun storeUnavailable(): HttpResponse = HttpResponse.unavailable("the state service does not answer")
 
+    /** 504: no report of a worker that is recent enough tells whether tasks of the job run. */
+    fun stateUnknown(): HttpResponse =
+        HttpResponse.error(HttpStatus.GATEWAY_TIMEOUT, "the state of the job is not known at the moment").copy(retryAfterSeconds = 1)
+
     /** 503: the outcome of a write is unknown. */
     fun outcomeUnknown(): HttpResponse = HttpResponse.unavailable("the state service has not answered")
 
--- a/src/main/kotlin/burlridge/api/JobSubmission.kt
+++ b/src/main/kotlin/burlridge/api/JobSubmission.kt
@@ -18,6 +18,7 @@
     private val leadership: Leadership,
     private val fleet: Fleet,
     private val peers: PeerRequests,
+    private val authority: JobAuthority,
     private val lookup: JobLookup,
     private val validation: JobValidation,
     private val gangAdmission: GangAdmission,
@@ -98,10 +99,9 @@
             } catch (e: InvalidJobException) {
                 return refuseInvalid(parsed.jobId, e, respond)
             }
-        val known = lookup.responseToSubmission(spec)
-        val refusal = if (known == null) refusalFor(spec) else null
+        if (lookup.tryRespondToSubmission(spec, respond)) return
+        val refusal = refusalFor(spec)
         when {
-            known != null -> respond(known)
             refusal != null -> lookup.refuseUnlessStored(spec.id, spec.fingerprint, refusal, respond)
             recentlyAccepted[spec.id] == null -> createJob(spec, respond)
             else -> submitRepeated(spec, body.takeUnless { isForwarded }, respond)
@@ -119,7 +119,7 @@
 
     /** The refusal of a new job that cannot be accepted now or can never run; null if it can be accepted. */
     private fun refusalFor(spec: JobSpec): HttpResponse? {
-        if (lookup.isEndUncertain(spec.id)) return HttpResponse.unavailable("its end is being written")
+        if (authority.isEndUncertain(spec.id)) return HttpResponse.unavailable("its end is being written")
         val catalog = fleet.catalog ?: return HttpResponse.unavailable("the machine types are not known yet")
         return when (val feasibility = validation.validate(spec, catalog)) {
             JobFeasibility.Feasible -> null
--- a/src/main/kotlin/burlridge/api/StoredJob.kt
+++ b/src/main/kotlin/burlridge/api/StoredJob.kt
@@ -1,7 +1,6 @@
 package burlridge.api
 
 import burlridge.allocation.FinishedJobRow
-import burlridge.allocation.JobState
 
 /** The state of a job according to its rows. */
 internal sealed interface StoredJob {
@@ -14,21 +13,19 @@
     /** The job was accepted, with the specification that has this [fingerprint]. */
     sealed interface Present : StoredJob {
         val fingerprint: String
-        val jobState: JobState
     }
 
-    /** The job has not ended. The row does not say whether it is running, so [jobState] is queued. */
+    /** The job has not ended. The row does not say whether tasks of the job run. */
     data class Active(
         override val fingerprint: String,
-    ) : Present {
-        override val jobState: JobState = JobState.QUEUED
-    }
+        /** Wall-clock time of the member that accepted the job, in milliseconds. */
+        val submittedMillis: Long,
+    ) : Present
 
     /** The job has ended. */
     data class Finished(
         val row: FinishedJobRow,
     ) : Present {
         override val fingerprint: String = row.fingerprint
-        override val jobState: JobState = row.jobState
     }
 }
--- a/src/main/kotlin/burlridge/api/StoredJobReader.kt
+++ b/src/main/kotlin/burlridge/api/StoredJobReader.kt
@@ -21,9 +21,19 @@
     ) {
         store.get(ActiveJobRow.key(id), RequestPriority.USER) { read ->
             when (read) {
-                is ReadResult.Found -> onResult(StoredJob.Active(JobRowCodec.activeFingerprint(read.value)))
-                ReadResult.Failed -> onResult(StoredJob.Unreadable)
-                ReadResult.Absent -> readFinished(id, onResult)
+                is ReadResult.Found -> {
+                    onResult(
+                        StoredJob.Active(JobRowCodec.activeFingerprint(read.value), JobRowCodec.submittedMillis(read.value)),
+                    )
+                }
+
+                ReadResult.Failed -> {
+                    onResult(StoredJob.Unreadable)
+                }
+
+                ReadResult.Absent -> {
+                    readFinished(id, onResult)
+                }
             }
         }
     }
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -21,6 +21,7 @@
 import burlridge.leadership.StepDownReason
 import burlridge.message.BuildIdentity
 import burlridge.message.FailoverStatus
+import burlridge.peer.LeaderRequests
 import burlridge.peer.PeerRequests
 import burlridge.placement.Placement
 import burlridge.settings.Settings
@@ -49,7 +50,21 @@
     private val fleet = Fleet(context, store, leadership, registry, workers)
     private val placement = Placement(context, registry, workers, fleet)
     private val gangGate = GangFeatureGate(context, store)
-    private val jobApi = JobApi(context, store, leadership, registry, fleet, peers, gangGate, placementTimer::request, workers::sendStops)
+    private val leaderRequests = LeaderRequests(peers)
+    private val jobApi =
+        JobApi(
+            context,
+            store,
+            leadership,
+            registry,
+            fleet,
+            peers,
+            leaderRequests,
+            workers.jobObserver,
+            gangGate,
+            placementTimer::request,
+            workers::sendStops,
+        )
     private val relay = HeartbeatRelay(context, peers)
     private val failover =
         settings.operator.failover?.let {
@@ -74,6 +89,7 @@
             store,
             leadership,
             peers,
+            leaderRequests,
             registry,
             jobApi,
             relay,
--- a/src/main/kotlin/burlridge/app/PeerMessageHandler.kt
+++ b/src/main/kotlin/burlridge/app/PeerMessageHandler.kt
@@ -8,6 +8,7 @@
 import burlridge.failover.Failover
 import burlridge.leadership.Leadership
 import burlridge.message.PeerMessage
+import burlridge.peer.LeaderRequests
 import burlridge.peer.PeerRequests
 import burlridge.store.ReadResult
 import burlridge.store.RequestPriority
@@ -21,6 +22,7 @@
     private val store: StoreClient,
     private val leadership: Leadership,
     private val peers: PeerRequests,
+    private val leaderRequests: LeaderRequests,
     private val registry: JobRegistry,
     private val jobApi: JobApi,
     private val relay: HeartbeatRelay,
@@ -57,10 +59,29 @@
     }
 
     private fun onForwardedRequest(request: PeerMessage.ForwardedRequest) {
-        if (request.path.startsWith(RelayedCommand.PATH_PREFIX)) {
-            relay.forwardCommand(request.path.removePrefix(RelayedCommand.PATH_PREFIX), request.body) { respond(request, it) }
-        } else {
-            router.handle(request.method, request.path, request.body, request.from) { respond(request, it) }
+        when {
+            request.path.startsWith(RelayedCommand.PATH_PREFIX) -> {
+                relay.forwardCommand(request.path.removePrefix(RelayedCommand.PATH_PREFIX), request.body) { respond(request, it) }
+            }
+
+            request.path.startsWith(LeaderRequests.PATH_PREFIX) -> {
+                onRequestToLeader(request)
+            }
+
+            else -> {
+                router.handle(request.method, request.path, request.body, request.from) { respond(request, it) }
+            }
+        }
+    }
+
+    /** Handles a request of a member that does not reach the leader itself. */
+    private fun onRequestToLeader(request: PeerMessage.ForwardedRequest) {
+        val path = request.path.removePrefix(LeaderRequests.PATH_PREFIX)
+        val leader = leadership.knownLeader
+        when {
+            leadership.isLeader -> router.handle(request.method, path, request.body, request.from) { respond(request, it) }
+            leader == null -> respond(request, HttpResponse.unavailable("no leader at the moment"))
+            else -> leaderRequests.relay(leader, path) { respond(request, it) }
         }
     }
 
--- a/src/main/kotlin/burlridge/core/HttpStatus.kt
+++ b/src/main/kotlin/burlridge/core/HttpStatus.kt
@@ -14,4 +14,5 @@
     const val UNPROCESSABLE: Int = 422
     const val TOO_MANY_REQUESTS: Int = 429
     const val SERVICE_UNAVAILABLE: Int = 503
+    const val GATEWAY_TIMEOUT: Int = 504
 }
--- a/src/main/kotlin/burlridge/peer/PeerRequests.kt
+++ b/src/main/kotlin/burlridge/peer/PeerRequests.kt
@@ -27,6 +27,10 @@
     /** Returns a member that is not silent and whose last status said that it reaches the key-value store; null if there is none. */
     fun memberReachingStore(): String? = statuses.values.firstOrNull { it.storeReachable && !isSilent(it.from) }?.from
 
+    /** Returns the members, [leader] excepted, that are not silent and whose last status named [leader] as the leader. */
+    fun membersFollowing(leader: String): List<String> =
+        statuses.values.filter { it.from != leader && it.leader == leader && !isSilent(it.from) }.map { it.from }
+
     /** Whether [leader], in its last status, reported as leader that it receives no heartbeats from [zone]. */
     fun leaderLacksHeartbeatsFrom(
         leader: String,
--- a/src/main/kotlin/burlridge/settings/Settings.kt
+++ b/src/main/kotlin/burlridge/settings/Settings.kt
@@ -90,6 +90,8 @@
     val storeLimits: StoreLimits,
     val cloudLimits: CloudLimits,
     val processLimits: ProcessLimits,
+    /** How far the time of day of a controller may be from the true time; null if the platform does not tell. */
+    val clockBoundMillis: Double? = null,
     val operator: OperatorSettings = OperatorSettings(),
 ) {
     /** Number of controllers in the deployment, this one included. */
--- a/src/main/kotlin/burlridge/settings/SettingsParser.kt
+++ b/src/main/kotlin/burlridge/settings/SettingsParser.kt
@@ -56,6 +56,7 @@
             storeLimits = storeLimits(state),
             cloudLimits = CloudLimits(cloud.positiveNumber("rps", "params.cloud."), cloud.positiveNumber("list_lag_s", "params.cloud.")),
             processLimits = processLimits(params.required("limits", "params.")),
+            clockBoundMillis = params.path("time_bound_ms").takeIf { it.isNumber && it.asDouble() >= 0 }?.asDouble(),
         )
     }
 
--- a/src/main/kotlin/burlridge/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/burlridge/worker/CommandDispatcher.kt
@@ -71,13 +71,14 @@
         context.count("worker.commands")
         if (selection.starts.isNotEmpty()) context.count(STARTS_METRIC, selection.starts.size)
         val token = machine.token
+        val request = ReportRequest(machine, context.now)
         val body = WorkerCommandCodec.request(token, machine.agentEpoch, selection.commands(registry))
         val isStillLeading = leadership.whileLeading(leadership.term)
         val onlyStops = selection.starts.isEmpty() && selection.stops.isNotEmpty()
         transport.send(machine, address, body, onlyStops) { outcome ->
             if (!isStillLeading() || !machines.isRegistered(machine)) return@send
             machine.commandInFlight = false
-            onResult(machine, selection, token, resultOf(outcome))
+            onResult(request, selection, token, resultOf(outcome))
         }
     }
 
@@ -99,21 +100,22 @@
     }
 
     private fun onResult(
-        machine: Machine,
+        request: ReportRequest,
         selection: CommandSelection,
         token: Long,
         result: CommandResult,
     ) {
+        val machine = request.machine
         when (result) {
             is CommandResult.Executed -> {
                 selection.stops.forEach { it.isStopAcknowledged = true }
-                onHeartbeat(machine, result.heartbeat)
+                onHeartbeat(request, result.heartbeat)
             }
 
             is CommandResult.Fenced -> {
                 revertToCommitted(selection.starts)
                 machine.nextCommandAt = context.now + RETRY_BASE_SECONDS
-                onHeartbeat(machine, result.heartbeat)
+                onHeartbeat(request, result.heartbeat)
             }
 
             CommandResult.NotExecuted -> {
@@ -128,11 +130,12 @@
     }
 
     private fun onHeartbeat(
-        machine: Machine,
+        request: ReportRequest,
         heartbeat: Heartbeat,
     ) {
+        val machine = request.machine
         machine.consecutiveCommandFailures = 0
-        handlers.heartbeats.onCommandResponse(machine, heartbeat)
+        handlers.heartbeats.onRequestedReport(request, heartbeat)
         if (FencingToken.termOf(machine.seenToken) > leadership.term) {
             return leadership.stepDown(StepDownReason.HigherTokenSeen(machine.id))
         }
--- a/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
+++ b/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
@@ -44,13 +44,17 @@
         context.count("worker.reports")
         val known = LastHeartbeat.machineIdIn(body)?.let { machines.byId[it] }
         val sequence = known?.lastHeartbeat?.sequenceIfUnchanged(body)
-        if (known != null && sequence != null) return respond(known, relayedBy, acceptUnchanged(known, sequence))
+        if (known != null &&
+            sequence != null
+        ) {
+            return respond(known, relayedBy, isNew = onOwnReport(known) { acceptUnchanged(known, sequence) })
+        }
         context.count("worker.reports_read")
         val heartbeat = Heartbeat.decode(body) ?: return HttpResponse.error(HttpStatus.BAD_REQUEST, "not a report")
         if (machines.isRemoved(heartbeat.machine)) return HttpResponse.unavailable("this machine has been returned")
         if (!unlistedReports.admits(heartbeat.machine, body.length, context.now)) return refuseUnlisted(heartbeat)
         val machine = machines.getOrRegister(heartbeat.machine)
-        val isNew = accept(machine, heartbeat)
+        val isNew = onOwnReport(machine) { accept(machine, heartbeat) }
         if (isNew) machine.lastHeartbeat = LastHeartbeat.of(body, machine.sequence)
         return respond(machine, relayedBy, isNew)
     }
@@ -61,12 +65,28 @@
         return HttpResponse.unavailable("too many machines report that the cloud does not list")
     }
 
-    /** Processes the heartbeat with which a worker responds to a command. It does not renew the lease of the worker. */
-    fun onCommandResponse(
+    /**
+     * Calls [accept] for a report that the worker of [machine] sent on its own. Such a report may have been held up on its way, or be a late
+     * copy from before this term: it tells the present state only if it was expected by now and shows a token of this leader.
+     */
+    private fun onOwnReport(
         machine: Machine,
+        accept: () -> Boolean,
+    ): Boolean {
+        val isExpected = context.now <= machine.lastMessageAt + context.settings.workers.reportSeconds * MAX_REPORT_INTERVALS
+        val isNew = accept()
+        if (isNew && isExpected && machine.isResponsive) machine.observedAt = context.now
+        return isNew
+    }
+
+    /** Processes the heartbeat with which a worker responds to [request]. It does not renew the lease of the worker. */
+    fun onRequestedReport(
+        request: ReportRequest,
         heartbeat: Heartbeat,
     ) {
+        val machine = request.machine
         if (!accept(machine, heartbeat)) return
+        machine.observedAt = maxOf(machine.observedAt, request.sentAt)
         // The next heartbeat may equal the one before this response, so it must be decoded in full.
         machine.lastHeartbeat = null
         if (machines.areAllocationsLoaded) handlers.reconciler.reconcile(machine)
@@ -171,6 +191,9 @@
     private companion object {
         const val BYTES_PER_MB = 1024 * 1024
 
+        /** The longest time between two heartbeats of a worker that reaches this member, in heartbeat intervals. */
+        const val MAX_REPORT_INTERVALS = 1.5
+
         /** A decoded heartbeat takes several times its length, and the heap is a part of the memory. */
         const val UNLISTED_MEMORY_SHARE = 1.0 / 64
     }
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -71,6 +71,9 @@
     /** Time of the latest heartbeat sent on its own; a response to a command renews no lease. */
     var lastHeartbeatAt: Double = NEVER
 
+    /** Latest time at which its tasks are known to have been as in [reportedTasks], unless a worker's request was held up on its way. */
+    var observedAt: Double = NEVER
+
     /** Time at which the cloud will reclaim it; null unless its worker has reported a reclaim notice. */
     var reclaimAt: Double? = null
 
--- a/src/main/kotlin/burlridge/worker/WorkerApi.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerApi.kt
@@ -12,6 +12,9 @@
     /** Path on a worker that accepts commands. */
     const val COMMAND_PATH: String = "/do"
 
+    /** Path on a worker that returns its report. */
+    const val INSPECTION_PATH: String = "/inspect"
+
     /** Returns the response that redirects a worker to [leader]; null if no leader is known. */
     fun redirectTo(leader: String?): HttpResponse =
         HttpResponse(HttpStatus.MISDIRECTED_REQUEST, Json.write(Json.obj { leader?.let { put("herder", it) } }))
--- a/src/main/kotlin/burlridge/worker/WorkerManager.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerManager.kt
@@ -43,6 +43,10 @@
             CommandHandlers(heartbeats, losses, requestPlacement),
         )
     private val probes = ReachabilityProbe(context, leadership, registry, reachability, commands)
+    private val inspector = WorkerInspector(context, leadership, machineRegistry, heartbeats, commands)
+
+    /** Tells users of the leader whether tasks of a job run. */
+    val jobObserver: JobObserver = JobObserver(context, machineRegistry, inspector)
     private val gangStopper = GangStopper(context, machineRegistry, leases, reachability, losses, commands)
     private val eviction = TaskEviction(context, registry, leases, gangStopper)
     private var nextSweepAt = 0.0
@@ -63,6 +67,7 @@
     fun clear() {
         machineRegistry.clear()
         heartbeats.clear()
+        inspector.clear()
         reachability.clear()
     }
 
--- a/src/test/kotlin/burlridge/simulation/InvariantChecker.kt
+++ b/src/test/kotlin/burlridge/simulation/InvariantChecker.kt
@@ -47,6 +47,14 @@
     private val completed = HashMap<String, HashSet<Int>>()
     private val placements = HashMap<String, ArrayList<Placement>>()
 
+    /** The number of tasks of a job on machines, and the time since which there have been some, or none. */
+    private class RunPeriod {
+        var tasks = 0
+        var since = 0.0
+    }
+
+    private val runPeriods = HashMap<String, RunPeriod>()
+
     private fun addViolation(
         rule: String,
         detail: String,
@@ -108,6 +116,9 @@
 
     private companion object {
         const val MAX_WAIT_SECONDS = 90.0
+
+        /** The lag of the protocol, and the time that a response takes. */
+        const val MAX_LAG_SECONDS = 3.01
     }
 
     private val lastResponseAt = HashMap<String, Double>()
@@ -125,6 +136,7 @@
         val mustMatch = (finalStateAt[job] ?: Double.MAX_VALUE) <= askedAt || isFinal
         if (previous != null && previous != jobState && mustMatch) addViolation("went_back", "$job was $previous, now $jobState")
         if (isFinal) finalStateAt.putIfAbsent(job, clock.now)
+        if (!isFinal) checkLag(job, jobState)
         when (jobState) {
             "done" -> {
                 if ((completed[job]?.size ?: 0) <
@@ -143,6 +155,24 @@
         }
     }
 
+    /** Checks that tasks of [job] ran, or did not run, as [jobState] says, at some time within the lag that the protocol permits. */
+    private fun checkLag(
+        job: String,
+        jobState: String,
+    ) {
+        val spec = jobs[job] ?: return
+        // On its machine, a task of a gang may wait for the others, and a task that saves may be saving: neither counts as running.
+        if (spec.gang || spec.saveSeconds > 0) return
+        val period = runPeriods[job]
+        val earliest = clock.now - MAX_LAG_SECONDS
+        if (jobState == "queued" && period != null && period.tasks > 0 && period.since < earliest) {
+            addViolation("state_lag", "$job is called queued and has run since ${period.since}")
+        }
+        if (jobState == "running" && (period == null || (period.tasks == 0 && period.since < earliest))) {
+            addViolation("state_lag", "$job is called running and has not run since ${period?.since}")
+        }
+    }
+
     fun cancellationRequested(job: String) {
         cancellationRequests += job
     }
@@ -176,6 +206,8 @@
             addViolation("wrong_place", "$taskName crowds ${worker.zone}")
         }
         placements.getOrPut(taskName) { ArrayList() } += Placement(worker)
+        val period = runPeriods.getOrPut(job) { RunPeriod() }
+        if (period.tasks++ == 0) period.since = clock.now
         val use = teamUse(spec.team)
         val cpus = teamCpus[spec.team] ?: 0.0
         val gpus = teamGpus[spec.team] ?: 0.0
@@ -204,7 +236,11 @@
     ) {
         onEnd(taskName, worker)
         placements[taskName]?.let { list ->
+            val count = list.size
             list.removeIf { it.machine === worker }
+            val period = runPeriods.getValue(taskName.substringBefore('/'))
+            period.tasks -= count - list.size
+            if (period.tasks == 0 && count > list.size) period.since = clock.now
             if (list.isEmpty()) placements.remove(taskName)
         }
         if (done) completed.getOrPut(taskName.substringBefore('/')) { HashSet() } += taskName.substringAfter('/').toInt()
--- a/src/test/kotlin/burlridge/simulation/InvariantCheckerTest.kt
+++ b/src/test/kotlin/burlridge/simulation/InvariantCheckerTest.kt
@@ -104,6 +104,7 @@
     @Test
     fun `an outdated response is a violation only if its request came after the newer response`() {
         accept()
+        invariants.started("j-000001/0", workerA)
         invariants.cancellationRequested(spec.id)
         cluster.clock.runUntil(1.0)
         invariants.answered(spec.id, 200, "withdrawn", false, askedAt = 0.5)
@@ -114,9 +115,32 @@
         assertEquals(listOf("went_back", "went_back"), violations())
     }
 
+    @Test
+    fun `a state that lags by more than three seconds is reported`() {
+        accept()
+        invariants.answered(spec.id, 200, "running", false)
+        invariants.started("j-000001/0", workerA)
+        cluster.clock.runUntil(2.9)
+        invariants.answered(spec.id, 200, "queued", false)
+        assertEquals(listOf("state_lag"), violations())
+        cluster.clock.runUntil(3.1)
+        invariants.answered(spec.id, 200, "running", false)
+        invariants.answered(spec.id, 200, "queued", true)
+        assertEquals(listOf("state_lag", "state_lag"), violations())
+        invariants.ended("j-000001/0", workerA, false)
+        cluster.clock.runUntil(6.0)
+        invariants.answered(spec.id, 200, "running", false)
+        assertEquals(2, violations().size)
+        cluster.clock.runUntil(6.2)
+        invariants.answered(spec.id, 200, "running", false)
+        invariants.answered(spec.id, 200, "queued", false)
+        assertEquals(3, violations().size)
+    }
+
     @Test
     fun `forgotten, invented, incomplete and reverted jobs are reported`() {
         accept()
+        invariants.started("j-000001/0", workerA)
         invariants.answered(spec.id, 404, null, false)
         invariants.answered(spec.id, 422, null, true)
         invariants.answered("j-000009", 200, "queued", false)
