Do not decode an inspected report that is unchanged, and ask one running machine

Change: an inspected report that differs from the last heartbeat only in its sequence number is not decoded, and does not make the next heartbeat be decoded; of a job that is taken for running, one machine is asked instead of two.

--- a/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
+++ b/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
@@ -79,6 +79,20 @@
         return isNew
     }
 
+    /** Processes the [body] of a worker's response to an inspection, which mostly differs from its last heartbeat only in the sequence number. */
+    fun onInspected(
+        request: ReportRequest,
+        body: String,
+    ) {
+        val machine = request.machine
+        val sequence = machine.lastHeartbeat?.sequenceIfUnchanged(body)
+        if (sequence != null) {
+            if (acceptUnchanged(machine, sequence)) machine.observedAt = maxOf(machine.observedAt, request.sentAt)
+        } else {
+            Heartbeat.decode(body)?.takeIf { it.machine == machine.id }?.let { onRequestedReport(request, it) }
+        }
+    }
+
     /** Processes the heartbeat with which a worker responds to [request]. It does not renew the lease of the worker. */
     fun onRequestedReport(
         request: ReportRequest,
--- a/src/main/kotlin/burlridge/worker/JobObserver.kt
+++ b/src/main/kotlin/burlridge/worker/JobObserver.kt
@@ -91,6 +91,6 @@
         /** Shorter than the time for which a member that forwards a user's question waits. */
         private const val TIMEOUT_SECONDS = MAX_LAG_SECONDS * 0.1
         private const val MAX_MACHINES_ASKED = 8
-        private const val MAX_RUNNING_MACHINES_ASKED = 2
+        private const val MAX_RUNNING_MACHINES_ASKED = 1
     }
 }
--- a/src/main/kotlin/burlridge/worker/WorkerInspector.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerInspector.kt
@@ -66,8 +66,7 @@
         outcome: CallOutcome,
     ) {
         if (outcome !is CallOutcome.Responded || outcome.status != HttpStatus.OK) return
-        val heartbeat = Heartbeat.decode(outcome.body)?.takeIf { it.machine == request.machine.id } ?: return
-        heartbeats.onRequestedReport(request, heartbeat)
+        heartbeats.onInspected(request, outcome.body)
     }
 
     private companion object {
