Keep a final state from another member's answer only if it is complete

Cause: JobResponses.decodeFinished took the number of tasks from the field `done` of any answer that names a final state. The answer to a cancellation has no such field, and a missing field was read as 0.

Change: the number must be there and be at least 1 for a job that is done, and the answer must name the job that was asked for; otherwise the state is passed on and not kept, and the next question goes to the leader or the rows. Queries, cancellations and questions through other members, the three places that keep answers, use the one function.

--- a/src/main/kotlin/burlridge/api/ActiveJobState.kt
+++ b/src/main/kotlin/burlridge/api/ActiveJobState.kt
@@ -97,7 +97,7 @@
         val path = "${JobApi.PATH}/$id"
 
         fun onResponse(response: HttpResponse?) {
-            response?.let { JobResponses.decodeFinished(it) }?.let { registry.recordFinished(id, it) }
+            response?.let { responses.recordEnd(id, it) }
             respond(response ?: responses.stateUnknown())
         }
         when {
--- a/src/main/kotlin/burlridge/api/JobCancellation.kt
+++ b/src/main/kotlin/burlridge/api/JobCancellation.kt
@@ -56,7 +56,7 @@
         respond: (HttpResponse) -> Unit,
     ) {
         peers.forward(leader, "POST", "${JobApi.PATH}/$id/abort", "", FORWARD_TIMEOUT_SECONDS) { response ->
-            response?.let { lookup.recordEnd(id, it) }
+            response?.let { responses.recordEnd(id, it) }
             respond(response ?: HttpResponse.unavailable("the leader does not answer"))
         }
     }
--- a/src/main/kotlin/burlridge/api/JobLookup.kt
+++ b/src/main/kotlin/burlridge/api/JobLookup.kt
@@ -40,14 +40,6 @@
         return finished != null || job != null
     }
 
-    /** Records that [id] has ended if the [response] of another member says so. */
-    fun recordEnd(
-        id: String,
-        response: HttpResponse,
-    ) {
-        JobResponses.decodeFinished(response)?.let { registry.recordFinished(id, it) }
-    }
-
     /**
      * Reads the rows of [id] and responds with its state if it has been accepted; calls [onMissing] if it has not. A [fingerprint] that
      * differs from the stored one is a conflict; null matches any.
--- a/src/main/kotlin/burlridge/api/JobQuery.kt
+++ b/src/main/kotlin/burlridge/api/JobQuery.kt
@@ -36,7 +36,7 @@
             if (response == null) {
                 queryRows(id, ActiveJobState.LeaderAccess.THROUGH_OTHERS, respond)
             } else {
-                lookup.recordEnd(id, response)
+                responses.recordEnd(id, response)
                 respond(response)
             }
         }
--- a/src/main/kotlin/burlridge/api/JobResponses.kt
+++ b/src/main/kotlin/burlridge/api/JobResponses.kt
@@ -7,6 +7,7 @@
 import burlridge.core.HttpResponse
 import burlridge.core.HttpStatus
 import burlridge.json.Json
+import com.fasterxml.jackson.databind.JsonNode
 
 /** The responses to users, with the JSON of their bodies. */
 internal class JobResponses(
@@ -46,6 +47,14 @@
     /** 503: the outcome of a write is unknown. */
     fun outcomeUnknown(): HttpResponse = HttpResponse.unavailable("the state service has not answered")
 
+    /** Records that the job [id] has ended if the [response] of another member says so and describes all of its end. */
+    fun recordEnd(
+        id: String,
+        response: HttpResponse,
+    ) {
+        decodeFinished(id, response)?.let { registry.recordFinished(id, it) }
+    }
+
     private fun encodeState(
         id: String,
         jobState: JobState,
@@ -86,12 +95,22 @@
         /** The final states of a job. */
         private val END_STATES = listOf(JobState.DONE, JobState.CANCELLED)
 
-        /** Decodes the end of a job from another member's [response]; null if the response does not say that the job has ended. */
-        fun decodeFinished(response: HttpResponse): FinishedJobRow? {
+        /**
+         * Decodes the end of the job [id] from another member's [response]; null if the response does not describe all of it. The response
+         * to a cancellation or a repeated submission of a job that is done does not say how many tasks it had.
+         */
+        private fun decodeFinished(
+            id: String,
+            response: HttpResponse,
+        ): FinishedJobRow? {
             val body = Json.parseOrNull(response.body) ?: return null
             val jobState = END_STATES.firstOrNull { it.wireName == body.path("standing").asText() } ?: return null
-            if (response.status != HttpStatus.OK || !body.path("fp").isTextual) return null
-            return FinishedJobRow(jobState, body.path("fp").asText(), body.path("done").asInt())
+            if (response.status != HttpStatus.OK || body.path("id").asText() != id || !body.path("fp").isTextual) return null
+            val taskCount = if (jobState == JobState.DONE) taskCountIn(body) ?: return null else 0
+            return FinishedJobRow(jobState, body.path("fp").asText(), taskCount)
         }
+
+        /** Returns the number of tasks of a job that is done; null if [body] has none that is possible. */
+        private fun taskCountIn(body: JsonNode): Int? = body.path("done").takeIf { it.isInt && it.intValue() > 0 }?.intValue()
     }
 }
--- a/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
@@ -117,6 +117,9 @@
     /** Returns what a member receives in place of the body with which the state service, the cloud or a worker, the [from], answers a call. */
     var replaceAnswer: (from: String, body: String) -> String = { _, body -> body }
 
+    /** Returns what a member receives in place of the body with which another member answers a forwarded request. */
+    var replaceForwardedAnswer: (body: String) -> String = { it }
+
     /** Called with each effect of a member's step, just before it is carried out. */
     var onEffect: (member: String, effect: Effect) -> Unit = { _, _ -> }
 
@@ -444,9 +447,10 @@
             }
 
             is Effect.SendToPeer -> {
-                (effect.message as? PeerMessage.ForwardedRequest)?.let { onForwardedRequest(it.path) }
+                val message = withReplacedAnswer(effect.message)
+                (message as? PeerMessage.ForwardedRequest)?.let { onForwardedRequest(it.path) }
                 if (!isPartitioned(name, effect.member)) {
-                    clock.after(peerDelaySeconds()) { step(effect.member, Input.MessageReceived(effect.message)) }
+                    clock.after(peerDelaySeconds()) { step(effect.member, Input.MessageReceived(message)) }
                 }
             }
 
@@ -456,6 +460,9 @@
         }
     }
 
+    private fun withReplacedAnswer(message: PeerMessage): PeerMessage =
+        if (message is PeerMessage.ForwardedResponse) message.copy(body = replaceForwardedAnswer(message.body)) else message
+
     private fun host(target: Endpoint): String =
         when (target.host) {
             "10.2.0.1" -> "state"
