Call a job queued only if no task can have run at every moment of the lag

One showed that a task had not begun at 20.8 s, the other that the other tasks were gone at 22.0 s, while the first had begun at 21.9 s.

Change: whether a task runs is read from the report itself, not from the phase of its allocation. For "queued", the reports of started tasks must not be older than the latest known end of another task of the job; the machines of older ones are asked.

--- a/src/main/kotlin/burlridge/allocation/AllocationIndex.kt
+++ b/src/main/kotlin/burlridge/allocation/AllocationIndex.kt
@@ -49,6 +49,7 @@
         isLost: Boolean,
     ) {
         if (allocation.hasEnded) return
+        if (allocation.phase > AllocationPhase.COMMITTED) jobs[allocation.job]?.lastEndAt = context.now
         allocation.end(isLost)
         byMachine[allocation.machine]?.let { if (it[allocation.taskName] === allocation) it.remove(allocation.taskName) }
         jobs[allocation.job]?.let { job ->
--- a/src/main/kotlin/burlridge/allocation/Job.kt
+++ b/src/main/kotlin/burlridge/allocation/Job.kt
@@ -43,6 +43,12 @@
     /** When an allocation of one of its tasks was last made or loaded, in seconds of this leader's monotonic clock; null if none was. */
     var allocatedAt: Double? = null
 
+    /**
+     * When one of its tasks may last have run whose end is known, in seconds of this leader's monotonic clock. Whether the other tasks ran
+     * then is told by later reports only.
+     */
+    var lastEndAt: Double = Double.NEGATIVE_INFINITY
+
     /** Whether the allocations of a broken gang attempt are being released; prevents each release from aborting the attempt again. */
     var isAbortingAttempt: Boolean = false
 
--- a/src/main/kotlin/burlridge/api/ActiveJobState.kt
+++ b/src/main/kotlin/burlridge/api/ActiveJobState.kt
@@ -45,7 +45,7 @@
     ): HttpResponse {
         val id = job.spec.id
         registry.finishedJob(id)?.let { return responses.finished(id, it) }
-        return if (state == null || authority.activeJob(id) !== job) responses.stateUnknown() else responses.progress(job)
+        return if (state == null || authority.activeJob(id) !== job) responses.stateUnknown() else responses.progress(job, state)
     }
 
     /** Responds with the state of the job [id], whose active row [stored] has just been read. */
@@ -66,7 +66,7 @@
     ): HttpResponse? {
         val job = registry.jobs[id]
         return when {
-            job != null -> if (isKnown(job)) responses.progress(job) else null
+            job != null -> knownState(job)?.let { responses.progress(job, it) }
             isJustAccepted(stored) -> responses.state(id, JobState.QUEUED)
             authority.mayDecide && !hasAllocations(id) -> responses.state(id, JobState.QUEUED)
             else -> null
@@ -74,10 +74,7 @@
     }
 
     /** Without its lease, a leader still learns from workers that a task runs, but another leader may have started a task that it does not know. */
-    private fun isKnown(job: Job): Boolean {
-        val state = observer.stateOf(job)
-        return state == JobState.RUNNING || (state != null && authority.mayDecide)
-    }
+    private fun knownState(job: Job): JobState? = observer.stateOf(job)?.takeIf { it == JobState.RUNNING || authority.mayDecide }
 
     /** Whether the job was accepted so recently that no task can have run before the lag that is permitted. */
     private fun isJustAccepted(stored: StoredJob.Active): Boolean {
--- a/src/main/kotlin/burlridge/api/JobResponses.kt
+++ b/src/main/kotlin/burlridge/api/JobResponses.kt
@@ -22,8 +22,11 @@
         jobState: JobState,
     ): HttpResponse = HttpResponse(HttpStatus.OK, encodeState(id, jobState))
 
-    /** 200 with the progress of a job that has not ended. */
-    fun progress(job: Job): HttpResponse = HttpResponse(HttpStatus.OK, encodeProgress(job))
+    /** 200 with the progress of a job that has not ended and is known to be in [state]. */
+    fun progress(
+        job: Job,
+        state: JobState,
+    ): HttpResponse = HttpResponse(HttpStatus.OK, encodeProgress(job, state))
 
     /** 200 with the final state of a job that has ended. */
     fun finished(
@@ -67,13 +70,16 @@
             },
         )
 
-    private fun encodeProgress(job: Job): String =
+    private fun encodeProgress(
+        job: Job,
+        state: JobState,
+    ): String =
         Json.write(
             Json.obj {
                 put("id", job.spec.id)
-                put("standing", job.jobState.wireName)
+                put("standing", state.wireName)
                 put("done", job.done.cardinality())
-                put("running", job.runningCount)
+                put("running", if (state == JobState.RUNNING) job.runningCount else 0)
             },
         )
 
--- a/src/main/kotlin/burlridge/worker/JobObserver.kt
+++ b/src/main/kotlin/burlridge/worker/JobObserver.kt
@@ -18,11 +18,23 @@
     /** Returns whether tasks of [job], which has not ended, run; null if that is not known to have been so within [MAX_REPORT_AGE_SECONDS]. */
     fun stateOf(job: Job): JobState? {
         val allocations = job.allocations.values
-        return when {
-            allocations.any { it.phase == AllocationPhase.RUNNING && isObserved(it) } -> JobState.RUNNING
-            allocations.all { isKnownNotRunning(it) } -> JobState.QUEUED
-            else -> null
-        }
+        val isRunning = allocations.any { isObservedSince(it, context.now - MAX_REPORT_AGE_SECONDS) && isReportedRunning(it) }
+        if (isRunning) return JobState.RUNNING
+        val earliest = earliestForQueued(job)
+        val noneRuns = allocations.all { !isStarted(it) || (isObservedSince(it, earliest) && !isReportedRunning(it)) }
+        return if (noneRuns) JobState.QUEUED else null
+    }
+
+    /**
+     * The earliest time of reports by which [job] may be called queued. A report from before the end of one task does not tell whether
+     * another one had begun by then, so that a task may have run at every moment although no report shows one that runs.
+     */
+    private fun earliestForQueued(job: Job): Double {
+        val lastEnds =
+            job.allocations.values
+                .filter { it.phase == AllocationPhase.RUNNING }
+                .mapNotNull { machines.byId[it.machine]?.observedAt }
+        return maxOf(context.now - MAX_REPORT_AGE_SECONDS, job.lastEndAt, lastEnds.maxOrNull() ?: Double.NEGATIVE_INFINITY)
     }
 
     /** Calls [onResult] with the state of [job], at once if it is known, otherwise after its machines have been asked for a report. */
@@ -64,7 +76,8 @@
 
     /** Machines whose reports would tell the state of [job]. One running task is enough to call the job running. */
     private fun machinesToAsk(job: Job): List<Machine> {
-        val unobserved = job.allocations.values.filter { it.phase >= AllocationPhase.DISPATCHED && !isObserved(it) }
+        val earliest = earliestForQueued(job)
+        val unobserved = job.allocations.values.filter { isStarted(it) && !isObservedSince(it, earliest) }
         val running = unobserved.filter { it.phase == AllocationPhase.RUNNING }
         val (allocations, limit) = if (running.isEmpty()) unobserved to MAX_MACHINES_ASKED else running to MAX_RUNNING_MACHINES_ASKED
         return allocations
@@ -73,12 +86,19 @@
             .take(limit)
     }
 
-    private fun isKnownNotRunning(allocation: Allocation): Boolean =
-        allocation.phase <= AllocationPhase.COMMITTED || (allocation.phase != AllocationPhase.RUNNING && isObserved(allocation))
+    private fun isStarted(allocation: Allocation): Boolean = allocation.phase > AllocationPhase.COMMITTED
+
+    private fun isReportedRunning(allocation: Allocation): Boolean {
+        val reportedTasks = machines.byId[allocation.machine]?.reportedTasks ?: return false
+        return reportedTasks[taskKey(allocation.taskName, allocation.attempt)]?.state == TaskState.Known.RUNNING
+    }
 
-    private fun isObserved(allocation: Allocation): Boolean {
+    private fun isObservedSince(
+        allocation: Allocation,
+        earliest: Double,
+    ): Boolean {
         val machine = machines.byId[allocation.machine] ?: return false
-        return context.now <= machine.observedAt + MAX_REPORT_AGE_SECONDS
+        return machine.observedAt >= earliest
     }
 
     internal companion object {
--- a/src/main/kotlin/burlridge/worker/TaskOutcomes.kt
+++ b/src/main/kotlin/burlridge/worker/TaskOutcomes.kt
@@ -31,6 +31,9 @@
         if (allocation.phase == AllocationPhase.RUNNING && before != AllocationPhase.RUNNING && !allocation.isInherited) {
             recordStart(allocation)
         }
+        if (allocation.phase != AllocationPhase.RUNNING && before == AllocationPhase.RUNNING) {
+            registry.jobs[allocation.job]?.lastEndAt = context.now
+        }
         if (allocation.phase >= AllocationPhase.AWAITING_GANG && before < AllocationPhase.AWAITING_GANG) {
             registry.jobs[allocation.job]?.let { recordImage(machine, it.spec) }
         }
