Fence a worker that began anew before its lost tasks are started elsewhere

Cause: TaskReconciler took a report without the task as proof once the worker had ever seen a token above those of commands with an unknown outcome. A command that was answered did not count, the highest token was kept across the loss of the worker's memory, and the first reports of the new worker looked like old copies, so that they were dropped.

Change: a task counts as gone only once the worker has seen a token above all start commands sent to it, answered ones too. A worker that began anew is recognized by a newer report with a lower token, or by an answer to a question of this leader that is not newer than what was known when it was asked; a report that seems old and has a lower token leads to that question. What the former worker had seen is then forgotten, and the machine gets a token above all others.

What remains: between the return of a worker and its first answered report, a copy of a start of a task that was moved before is executed. No token can prevent that.

--- a/src/main/kotlin/burlridge/worker/CommandDispatcher.kt
+++ b/src/main/kotlin/burlridge/worker/CommandDispatcher.kt
@@ -62,6 +62,13 @@
         address: Endpoint,
     ) = send(machine, address, CommandSelection.EMPTY)
 
+    /** Delivers the token of [machine] to its worker at once. If a request is in flight, the worker gets it with its next heartbeat. */
+    fun sendToken(machine: Machine) {
+        val address = machine.address ?: return
+        val canSend = leadership.holdsLease && !machine.commandInFlight && context.now >= machine.nextCommandAt
+        if (canSend) query(machine, address)
+    }
+
     private fun send(
         machine: Machine,
         address: Endpoint,
@@ -149,7 +156,7 @@
         if (machine.consecutiveCommandFailures < MIN_FAILURES_TO_RELEASE) return
         // Heartbeats of the machine may arrive although no command reaches it. Tasks whose start was not sent are placed elsewhere, and
         // nothing more is placed here until the worker has seen a new token, which it can only have received in a response of this leader.
-        requireNewToken(machine)
+        machines.requireNewToken(machine)
         handlers.losses.releaseUndispatched(machine, LossReason.MACHINE_UNREACHABLE)
     }
 
@@ -163,15 +170,10 @@
     ) {
         context.infoLimited("command outcome unknown", "machine" to machine.id, "token" to token)
         machine.unsettledToken = maxOf(machine.unsettledToken, token)
-        requireNewToken(machine)
+        machines.requireNewToken(machine)
         retryLater(machine)
     }
 
-    private fun requireNewToken(machine: Machine) {
-        machine.token = machines.nextToken()
-        machine.requiredToken = machine.token
-    }
-
     private fun retryLater(machine: Machine) {
         machine.consecutiveCommandFailures++
         machine.nextCommandAt = context.now + RETRY_BASE_SECONDS * minOf(machine.consecutiveCommandFailures, MAX_RETRY_FACTOR)
--- a/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
+++ b/src/main/kotlin/burlridge/worker/HeartbeatProcessor.kt
@@ -30,6 +30,9 @@
             machines.byId::containsKey,
         )
 
+    /** Called for each machine whose worker may have begun anew, to ask it for a report. */
+    var onWorkerInDoubt: (Machine) -> Unit = {}
+
     /** Called for each machine that sent a new heartbeat, after its allocations have been reconciled. */
     var onReconciled: (Machine) -> Unit = {}
 
@@ -55,6 +58,7 @@
         if (!unlistedReports.admits(heartbeat.machine, body.length, context.now)) return refuseUnlisted(heartbeat)
         val machine = machines.getOrRegister(heartbeat.machine)
         val isNew = onOwnReport(machine) { accept(machine, heartbeat) }
+        if (!isNew && heartbeat.token < machine.seenToken) onTokenForgotten(machine)
         if (isNew) machine.lastHeartbeat = LastHeartbeat.of(body, machine.sequence)
         return respond(machine, relayedBy, isNew)
     }
@@ -99,13 +103,48 @@
         heartbeat: Heartbeat,
     ) {
         val machine = request.machine
-        if (!accept(machine, heartbeat)) return
+        if (request.showsNewWorker(heartbeat)) {
+            replaceWorker(machine, heartbeat)
+        } else if (!accept(machine, heartbeat)) {
+            return
+        }
         machine.observedAt = maxOf(machine.observedAt, request.sentAt)
         // The next heartbeat may equal the one before this response, so it must be decoded in full.
         machine.lastHeartbeat = null
         if (machines.areAllocationsLoaded) handlers.reconciler.reconcile(machine)
     }
 
+    /**
+     * Handles a heartbeat that seems old and shows a lower token than the worker had seen. It is a late copy, or the worker has begun anew
+     * and would execute late copies of commands. It is given a token above theirs, and its response to a question tells which it is.
+     */
+    private fun onTokenForgotten(machine: Machine) {
+        machines.fenceStarts(machine)
+        onWorkerInDoubt(machine)
+    }
+
+    /**
+     * Begins anew with a worker that has lost its memory: the tasks that it had are gone, but it would execute late copies of commands.
+     * Nothing is placed on [machine], and no task is considered lost, until the worker has seen a token above those of all commands.
+     */
+    private fun replaceWorker(
+        machine: Machine,
+        heartbeat: Heartbeat,
+    ) {
+        context.infoLimited("worker began anew", "machine" to machine.id, "epoch" to heartbeat.agentEpoch, "token" to heartbeat.token)
+        machine.unsettledToken = maxOf(machine.unsettledToken, machine.token)
+        machines.requireNewToken(machine)
+        machine.agentEpoch = heartbeat.agentEpoch
+        machine.sequence = heartbeat.sequence
+        machine.seenToken = heartbeat.token
+        machine.epochChangedAt = context.now
+        machine.isLeaseExpired = false
+        machine.leaseRenewedAt = context.now
+        recordMessage(machine)
+        updateDescription(machine, heartbeat)
+        if (machines.areAllocationsLoaded) handlers.losses.releaseUndispatched(machine, LossReason.WORKER_NEW)
+    }
+
     /** Accepts a heartbeat that differs from the previous one only in its [sequence] number; returns false if it is not newer. */
     private fun acceptUnchanged(
         machine: Machine,
@@ -165,6 +204,10 @@
     ): Boolean {
         val isNewEpoch = heartbeat.agentEpoch != machine.agentEpoch
         if (heartbeat.agentEpoch < machine.agentEpoch || (!isNewEpoch && heartbeat.sequence <= machine.sequence)) return false
+        if (heartbeat.token < machine.seenToken) {
+            replaceWorker(machine, heartbeat)
+            return true
+        }
         if (isNewEpoch && machine.isUp && machines.areAllocationsLoaded) {
             handlers.losses.markAllLost(machine, LossReason.EPOCH_ENDED, beforeEpoch = heartbeat.agentEpoch)
         }
--- a/src/main/kotlin/burlridge/worker/LossReason.kt
+++ b/src/main/kotlin/burlridge/worker/LossReason.kt
@@ -25,6 +25,9 @@
     /** A heartbeat does not contain the task, and no start of it can still arrive. */
     NOT_ON_WORKER("not_on_worker"),
 
+    /** No start was sent before the worker began anew. */
+    WORKER_NEW("worker_new"),
+
     /** The worker has begun a new agent epoch, which starts without any tasks. */
     EPOCH_ENDED("epoch_ended"),
 
--- a/src/main/kotlin/burlridge/worker/Machine.kt
+++ b/src/main/kotlin/burlridge/worker/Machine.kt
@@ -163,6 +163,9 @@
     /** Whether it is drained permanently, so that no messages are expected from it. A drain by operators may be undone. */
     val isDecommissioning: Boolean get() = isDraining && drainReason != DrainReason.OPERATOR
 
+    /** Highest token whose commands the worker may still execute, at once or as late copies, although they have been answered. */
+    val lastCommandToken: Long get() = maxOf(unsettledToken, lastStartToken)
+
     /** Whether its worker has seen [requiredToken], which proves that it receives responses. */
     val isResponsive: Boolean get() = seenToken >= requiredToken
 
--- a/src/main/kotlin/burlridge/worker/MachineRegistry.kt
+++ b/src/main/kotlin/burlridge/worker/MachineRegistry.kt
@@ -54,6 +54,22 @@
         return machine
     }
 
+    /** Gives [machine] a new token, and prevents that tasks are placed on it until its worker has seen that token. */
+    fun requireNewToken(machine: Machine) {
+        machine.token = nextToken()
+        machine.requiredToken = machine.token
+    }
+
+    /** Gives [machine] a token above those of all commands that were sent to it. */
+    fun raiseToken(machine: Machine) {
+        if (machine.token <= machine.lastCommandToken) machine.token = nextToken()
+    }
+
+    /** Gives [machine] a new token unless it has one that its worker has not been sent a start command with. */
+    fun fenceStarts(machine: Machine) {
+        if (machine.token <= machine.lastCommandToken) requireNewToken(machine)
+    }
+
     /** Whether [machine] is still registered; it may have been removed while a command to it was in flight. */
     fun isRegistered(machine: Machine): Boolean = byId[machine.id] === machine
 
--- a/src/main/kotlin/burlridge/worker/TaskReconciler.kt
+++ b/src/main/kotlin/burlridge/worker/TaskReconciler.kt
@@ -32,24 +32,32 @@
         if (allocation.agentEpoch < machine.agentEpoch) return losses.markLost(allocation, LossReason.EPOCH_ENDED)
         val status = machine.reportedTasks[taskKey(allocation.taskName, allocation.attempt)]
         when {
-            status == null -> if (isKnownAbsent(machine, allocation)) losses.markLost(allocation, LossReason.NOT_ON_WORKER)
+            status == null -> reconcileAbsent(machine, allocation)
             status.isExited -> outcomes.recordExit(machine, allocation, status)
             else -> outcomes.recordActive(machine, allocation, status)
         }
     }
 
     /**
-     * Whether a heartbeat without the task proves that the task is not on [machine]. It does so only if no start of the task can still
-     * arrive: none is in flight, and the worker has seen a higher token than every command with an unknown outcome.
+     * Releases an allocation whose start was sent and whose task a heartbeat does not contain, if that proves that the task is not on
+     * [machine]. It does so only if no start of the task can still arrive: none is in flight, and the worker has seen a higher token than
+     * every start command. A command that was answered counts too, since a late copy of it may follow: a worker that has lost a task
+     * without ending its agent epoch has also lost the memory by which it ignores the copy.
      */
-    private fun isKnownAbsent(
+    private fun reconcileAbsent(
         machine: Machine,
         allocation: Allocation,
-    ): Boolean =
-        when (allocation.phase) {
-            AllocationPhase.COMMITTING, AllocationPhase.COMMITTED, AllocationPhase.ENDED -> false
-            else -> !machine.commandInFlight && machine.seenToken > machine.unsettledToken
+    ) {
+        val isStarted = allocation.phase > AllocationPhase.COMMITTED && allocation.phase != AllocationPhase.ENDED
+        if (!isStarted || machine.commandInFlight) return
+        if (machine.seenToken >
+            machine.lastCommandToken
+        ) {
+            losses.markLost(allocation, LossReason.NOT_ON_WORKER)
+        } else {
+            machines.fenceStarts(machine)
         }
+    }
 
     private fun orphansOn(machine: Machine): Set<String> {
         val allocations = registry.allocations.byMachine[machine.id]
--- a/src/main/kotlin/burlridge/worker/WorkerInspector.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerInspector.kt
@@ -28,22 +28,18 @@
         val address = machine.address
         when {
             address == null -> onEnded()
-            machine.relayedBy != null -> queryThroughRelay(machine, address)
+
+            // The member that relays the heartbeats of a worker passes on commands only. The caller does not wait for the response.
+            machine.relayedBy != null -> commands.sendToken(machine)
+
             listeners[machine.id] != null -> listeners.getValue(machine.id) += onEnded
+
             listeners.size >= MAX_IN_PROGRESS -> onEnded()
+
             else -> send(machine, address, onEnded)
         }
     }
 
-    /** The member that relays the heartbeats of a worker passes on commands only. The caller does not wait for the response. */
-    private fun queryThroughRelay(
-        machine: Machine,
-        address: Endpoint,
-    ) {
-        val mayQuery = leadership.holdsLease && !machine.commandInFlight && context.now >= machine.nextCommandAt
-        if (mayQuery) commands.query(machine, address)
-    }
-
     private fun send(
         machine: Machine,
         address: Endpoint,
--- a/src/main/kotlin/burlridge/worker/WorkerManager.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerManager.kt
@@ -47,6 +47,11 @@
 
     /** Tells users of the leader whether tasks of a job run. */
     val jobObserver: JobObserver = JobObserver(context, machineRegistry, inspector)
+
+    init {
+        heartbeats.onWorkerInDoubt = { inspector.inspect(it) {} }
+    }
+
     private val gangStopper = GangStopper(context, machineRegistry, leases, reachability, losses, commands)
     private val eviction = TaskEviction(context, registry, leases, gangStopper)
     private var nextSweepAt = 0.0
--- a/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/burlridge/simulation/SimulatedCluster.kt
@@ -108,9 +108,12 @@
      */
     var callFaultRate = 0.0
 
-    /** Maximum delay of a delayed call, and delay of the second delivery of a duplicated call, in seconds. */
+    /** Maximum delay of a delayed call, in seconds. */
     var lateSeconds = 30.0
 
+    /** Returns the delay of the second delivery of a duplicated call, in seconds. */
+    var duplicateDelaySeconds: () -> Double = { lateSeconds }
+
     /** Called for each call before it is sent, unless [callFaultRate] has chosen a fault. Returns the fault to inject. */
     var onCall: (from: String, effect: Effect.HttpCall) -> CallFault = { _, _ -> CallFault.NONE }
 
@@ -515,7 +518,7 @@
             }
 
             else -> {
-                if (fault == CallFault.DUPLICATED) clock.after(lateSeconds) { deliver(host, effect) { _, _ -> } }
+                if (fault == CallFault.DUPLICATED) clock.after(duplicateDelaySeconds()) { deliver(host, effect) { _, _ -> } }
                 clock.after(if (fault == CallFault.DELAYED) random.nextDouble() * lateSeconds else 0.003) {
                     deliver(host, effect) { status, body ->
                         if ((fault == CallFault.NONE || fault == CallFault.DUPLICATED) &&
--- a/src/test/kotlin/burlridge/simulation/Worker.kt
+++ b/src/test/kotlin/burlridge/simulation/Worker.kt
@@ -76,6 +76,22 @@
         changed = true
     }
 
+    /** Number of times that the machine has come back; what an earlier incarnation had begun has no effect. */
+    private var incarnation = 0
+
+    /** Comes back at once as a new worker, which remembers neither tasks nor tokens, and begins with its first agent epoch. */
+    fun comeBackAsNew() {
+        tasks.values.forEach { releaseTask(it, false) }
+        tasks.clear()
+        incarnation++
+        agentEpoch = 1
+        sequence = 0
+        token = 0
+        heartbeatInFlight = false
+        lastAnsweredSentAt = cluster.clock.now
+        heartbeat()
+    }
+
     private var reclaimAt: Double? = null
 
     /** Announces that the cloud reclaims the machine in [seconds], and lets it do so. */
@@ -182,10 +198,11 @@
         changed = false
         val sentAt = cluster.clock.now
         val sentEpoch = agentEpoch
+        val sentIncarnation = incarnation
         val name = cluster.members[memberIndex]
         cluster.request(id, name, "POST", "/agent/beat", heartbeatBody().toString(), 4.0) { status, body ->
+            if (!alive || incarnation != sentIncarnation) return@request
             heartbeatInFlight = false
-            if (!alive) return@request
             if (hung) return@request whenNotHung { scheduleNextHeartbeat() }
             val response = Json.parseOrNull(body)
             when (status) {
@@ -202,23 +219,29 @@
                     val leader = cluster.members.indexOf(response?.path("herder")?.asText(""))
                     val leaderIsKnown = leader >= 0 && leader != memberIndex
                     memberIndex = if (leaderIsKnown) leader else (memberIndex + 1) % cluster.members.size
-                    cluster.clock.after(if (leaderIsKnown) cluster.random.nextDouble() * 0.5 else 1.0) { heartbeat() }
+                    retryAfter(if (leaderIsKnown) cluster.random.nextDouble() * 0.5 else 1.0)
                 }
 
                 else -> {
                     memberIndex = (memberIndex + 1) % cluster.members.size
-                    cluster.clock.after(1.0) { heartbeat() }
+                    retryAfter(1.0)
                 }
             }
         }
     }
 
+    private fun retryAfter(seconds: Double) {
+        val current = incarnation
+        cluster.clock.after(seconds) { if (incarnation == current) heartbeat() }
+    }
+
     private fun scheduleNextHeartbeat() {
+        val current = incarnation
         val at = cluster.clock.now + cluster.reportSeconds * (0.75 + cluster.random.nextDouble() * 0.5)
 
         fun wait() {
             cluster.clock.after(0.5) {
-                if (alive && !heartbeatInFlight) {
+                if (alive && !heartbeatInFlight && incarnation == current) {
                     if (changed || cluster.clock.now >= at) {
                         heartbeat()
                     } else {
