Fence starts of removed tasks when the rest of their job is cancelled

Cause: a done task of an active job is removed before its start is fenced, since the worker ends a repetition at once. That is harmless only as long as the job is not cancelled.

Change: a job remembers the machines from which done tasks were removed unfenced, with the token of the starts. Its cancellation sends these machines a higher token at once. While a cancellation is being written, nothing is removed unfenced any more. Removals of jobs that are not cancelled cost what they did.

--- a/src/main/kotlin/burlridge/allocation/Job.kt
+++ b/src/main/kotlin/burlridge/allocation/Job.kt
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap
 import java.util.BitSet
 
 /**
@@ -43,6 +44,12 @@
     /** When an allocation of one of its tasks was last made or loaded, in seconds of this leader's monotonic clock; null if none was. */
     var allocatedAt: Double? = null
 
+    /**
+     * Machines whose worker has removed tasks of this job that were done, with the highest token of a start command that the worker would
+     * execute if a late copy of it arrived.
+     */
+    val unfencedRemovals: Object2LongOpenHashMap<String> = Object2LongOpenHashMap()
+
     /**
      * When one of its tasks may last have run whose end is known, in seconds of this leader's monotonic clock. Whether the other tasks ran
      * then is told by later reports only.
--- a/src/main/kotlin/burlridge/worker/TaskCleanup.kt
+++ b/src/main/kotlin/burlridge/worker/TaskCleanup.kt
@@ -55,13 +55,21 @@
         }
         if (allocationOf(machine, status) != null) return null
         // A duplicate of the start command may still arrive, and after the removal the worker would execute it as a new start. A task that
-        // is done would end again at once. For any other task the start must be fenced first, since by then the task may run elsewhere or
-        // be cancelled.
-        val isRepeatHarmless = isDone && (job != null || registry.finishedJob(jobId)?.jobState == JobState.DONE)
-        if (!isRepeatHarmless && machine.seenToken <= machine.lastStartToken) {
-            if (machine.token <= machine.lastStartToken) machine.token = nextToken()
-            return null
+        // is done would end again at once, which is harmless unless its job is cancelled: then the start is fenced. For any other task it
+        // must be fenced first, since by then the task may run elsewhere.
+        if (machine.seenToken <= machine.lastStartToken) {
+            val isDoneOfActiveJob = isDone && job != null && !job.isCancelling
+            if (isDoneOfActiveJob) job.unfencedRemovals.put(machine.id, machine.lastStartToken)
+            val isRepeatHarmless = isDoneOfActiveJob || (isDone && registry.finishedJob(jobId)?.jobState == JobState.DONE)
+            if (!isRepeatHarmless) {
+                raiseToken(machine)
+                return null
+            }
         }
         return WorkerCommand.Remove(status.task, status.attempt)
     }
+
+    private fun raiseToken(machine: Machine) {
+        if (machine.token <= machine.lastStartToken) machine.token = nextToken()
+    }
 }
--- a/src/main/kotlin/burlridge/worker/WorkerManager.kt
+++ b/src/main/kotlin/burlridge/worker/WorkerManager.kt
@@ -122,11 +122,18 @@
     ): HttpResponse = heartbeats.onRequest(body, relayedBy)
 
     /** Sends stop commands for the cancelled [job] to its workers immediately, before its end is stored durably. */
-    fun sendStops(job: Job) =
+    fun sendStops(job: Job) {
+        val unfenced =
+            job.unfencedRemovals.object2LongEntrySet().mapNotNull { (id, token) ->
+                machines[id]?.takeIf { it.seenToken <= token }
+            }
+        unfenced.forEach { machineRegistry.raiseToken(it) }
         job.allocations.values
             .mapNotNull { machines[it.machine] }
             .distinct()
             .forEach { sendPendingCommands(it) }
+        unfenced.forEach { commands.sendToken(it) }
+    }
 
     /** Sends the pending commands to [machine] immediately, without waiting for the next sweep. */
     fun sendPendingCommands(machine: Machine) = commands.sendPending(machine)
--- a/src/test/kotlin/burlridge/simulation/LateStartTest.kt
+++ b/src/test/kotlin/burlridge/simulation/LateStartTest.kt
@@ -2,6 +2,7 @@
 
 import burlridge.simulation.SimulatedCluster.CallFault
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -46,6 +47,24 @@
         return cluster.invariants.violations + unfinished
     }
 
+    /** A worker that has removed a task which is done takes a copy of its start for a new one, also if the rest of the job was cancelled. */
+    @Test
+    fun `no copy of a start runs a task that was done and removed before the rest of its job was cancelled`() {
+        for (seed in 1..SEEDS_OF_CANCELLATIONS) {
+            val cluster = SimulatedCluster(seed)
+            val job = cluster.job(1, 18, cpus = 4.0, runSeconds = 4.0)
+            cluster.duplicateStarts(Random(seed))
+            cluster.duplicateDelaySeconds = { 25.0 + cluster.random.nextDouble() * 15 }
+            // The tasks on the first machine wait for their image, so that the job is still active when all others have been removed.
+            cluster.fetchTime = { worker, _ -> if (worker.id == "m-000001") FIRST_FETCH_SECONDS else FETCH_SECONDS }
+            cluster.clock.after(5.0) { cluster.submit(job, abortAfter = 40.0) }
+            cluster.run(100.0)
+            assertEquals(emptyList<String>(), cluster.invariants.violations)
+            assertTrue((0 until 18).any { cluster.invariants.hasCompleted("${job.id}/$it") }, "no task was done before the cancellation")
+            assertEquals(emptyList<Pair<String, Double>>(), cluster.invariants.startsAfterCancellation, "seed $seed")
+        }
+    }
+
     /** Half of the requests with starts arrive once more, [MIN_COPY_DELAY_SECONDS] to [MAX_COPY_DELAY_SECONDS] later. */
     private fun SimulatedCluster.duplicateStarts(seededRandom: Random) {
         duplicateDelaySeconds = { MIN_COPY_DELAY_SECONDS + seededRandom.nextDouble() * (MAX_COPY_DELAY_SECONDS - MIN_COPY_DELAY_SECONDS) }
@@ -58,6 +77,9 @@
     private companion object {
         const val DEFAULT_SCHEDULES = 200
         const val MAX_FAILURES_SHOWN = 5
+        const val SEEDS_OF_CANCELLATIONS = 20
+        const val FIRST_FETCH_SECONDS = 90.0
+        const val FETCH_SECONDS = 0.2
         const val JOBS = 24
         const val ROUNDS = 3
         const val MIN_COPY_DELAY_SECONDS = 12.0
