Create the requests to the leader where they are sent

Cause: two constructors took more parameters than the linter allows. Change: LeaderRequests has no state and is created by its two users. Measured: the linter and the format check pass.

--- a/src/main/kotlin/burlridge/api/JobApi.kt
+++ b/src/main/kotlin/burlridge/api/JobApi.kt
@@ -20,7 +20,6 @@
     registry: JobRegistry,
     fleet: Fleet,
     peers: PeerRequests,
-    leaderRequests: LeaderRequests,
     observer: JobObserver,
     gangGate: GangFeatureGate,
     /** Called when this member, as leader, has admitted a new job. */
@@ -30,6 +29,7 @@
 ) {
     private val responses = JobResponses(registry)
     private val rows = StoredJobReader(store, registry)
+    private val leaderRequests = LeaderRequests(peers)
     private val authority = JobAuthority(leadership, registry)
     private val activeJobs = ActiveJobState(context, leadership, registry, authority, leaderRequests, observer, responses)
     private val lookup = JobLookup(registry, authority, rows, activeJobs, responses)
--- a/src/main/kotlin/burlridge/app/Controller.kt
+++ b/src/main/kotlin/burlridge/app/Controller.kt
@@ -21,7 +21,6 @@
 import burlridge.leadership.StepDownReason
 import burlridge.message.BuildIdentity
 import burlridge.message.FailoverStatus
-import burlridge.peer.LeaderRequests
 import burlridge.peer.PeerRequests
 import burlridge.placement.Placement
 import burlridge.settings.Settings
@@ -50,7 +49,6 @@
     private val fleet = Fleet(context, store, leadership, registry, workers)
     private val placement = Placement(context, registry, workers, fleet)
     private val gangGate = GangFeatureGate(context, store)
-    private val leaderRequests = LeaderRequests(peers)
     private val jobApi =
         JobApi(
             context,
@@ -59,7 +57,6 @@
             registry,
             fleet,
             peers,
-            leaderRequests,
             workers.jobObserver,
             gangGate,
             placementTimer::request,
@@ -89,7 +86,6 @@
             store,
             leadership,
             peers,
-            leaderRequests,
             registry,
             jobApi,
             relay,
--- a/src/main/kotlin/burlridge/app/PeerMessageHandler.kt
+++ b/src/main/kotlin/burlridge/app/PeerMessageHandler.kt
@@ -22,7 +22,6 @@
     private val store: StoreClient,
     private val leadership: Leadership,
     private val peers: PeerRequests,
-    private val leaderRequests: LeaderRequests,
     private val registry: JobRegistry,
     private val jobApi: JobApi,
     private val relay: HeartbeatRelay,
@@ -31,6 +30,8 @@
     /** Called when a job that another member has accepted is in the registry. */
     private val onJobAdmitted: () -> Unit,
 ) {
+    private val leaderRequests = LeaderRequests(peers)
+
     /** Dispatches [message] to the part that handles it. */
     fun handle(message: PeerMessage) {
         peers.onMessage(message)
